platform: speak the users' protocol of the store

Cause: the platform's store has a protocol of its own, and one client is enough. The project's own dialect and its VM list call go; the stand-in serves the new one over the same in-memory store, and the VM list is read from the entries of backend servers. Ruled out: two clients side by side.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
+	"sycamoreramp.example/sycamoreramp/platform"
 )
 
 // VM is an entry of the VM list as it is sent.
@@ -26,21 +29,42 @@
 	*Store
 }
 
-type entryWire struct {
+// pageItems is the number of items in one page of a range.
+const pageItems = 500
+
+type itemWire struct {
 	Key      string `json:"key"`
-	Value    []byte `json:"value"`
+	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
-	Removed  bool   `json:"removed,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type itemsWire struct {
+	Items   []itemWire `json:"items"`
+	HasMore bool       `json:"hasMore"`
+	AsOf    uint64     `json:"asOf"`
+}
+
+type eventsWire struct {
+	Events []itemWire `json:"events"`
+	AsOf   uint64     `json:"asOf"`
 }
 
-type listWire struct {
-	Entries  []entryWire `json:"entries"`
-	Revision uint64      `json:"revision"`
+type transactionWire struct {
+	Conditions []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"expectedRevision"`
+	Writes []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease uint64 `json:"lease"`
+	} `json:"setKeys"`
 }
 
 type leaseWire struct {
-	Lease  string `json:"lease"`
-	Millis int64  `json:"millis,omitempty"`
+	Lease uint64 `json:"lease,omitempty"`
+	TTL   int64  `json:"ttlMs"`
 }
 
 type faultWire struct {
@@ -68,14 +92,13 @@
 // fail; an empty body ends the fault.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv", p.get)
-	mux.HandleFunc("GET /kv/list", p.list)
-	mux.HandleFunc("GET /kv/watch", p.watch)
-	mux.HandleFunc("POST /kv/swap", p.swap)
-	mux.HandleFunc("POST /lease/grant", p.grant)
-	mux.HandleFunc("POST /lease/keep", p.keep)
-	mux.HandleFunc("POST /lease/revoke", p.revoke)
-	mux.HandleFunc("GET /vms", p.serveVMs)
+	mux.HandleFunc("GET /kv-key", p.get)
+	mux.HandleFunc("GET /kv-range", p.list)
+	mux.HandleFunc("GET /kv-watch", p.watch)
+	mux.HandleFunc("POST /kv-txn", p.swap)
+	mux.HandleFunc("POST /kv-lease", p.grant)
+	mux.HandleFunc("POST /kv-keep/{lease}", p.keep)
+	mux.HandleFunc("DELETE /kv-lease-end/{lease}", p.revoke)
 	mux.HandleFunc("POST /fault", func(_ http.ResponseWriter, r *http.Request) {
 		var f faultWire
 		_ = json.NewDecoder(r.Body).Decode(&f) // an empty body ends the fault
@@ -87,71 +110,94 @@
 
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	entry, err := p.Get(r.Context(), r.URL.Query().Get("key"))
-	reply(w, entryWire(entry), err)
+	reply(w, itemOf(entry), err)
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	entries, revision, err := p.List(r.Context(), r.URL.Query().Get("prefix"))
-	reply(w, encodeList(entries, revision), err)
+	prefix := r.URL.Query().Get("pathPrefix")
+	entries, revision, err := p.List(r.Context(), prefix)
+	if prefix == platform.ReplicaPrefix && err == nil {
+		entries, err = p.replicas(r)
+	}
+	after := r.URL.Query().Get("after")
+	page := itemsWire{Items: []itemWire{}, AsOf: revision}
+	for _, e := range entries {
+		if e.Key <= after {
+			continue
+		}
+		if page.HasMore = len(page.Items) == pageItems; page.HasMore {
+			break
+		}
+		page.Items = append(page.Items, itemOf(e))
+	}
+	reply(w, page, err)
+}
+
+// replicas returns the VM list as the entries of its backend servers.
+func (p *Platform) replicas(r *http.Request) ([]ramp.Entry, error) {
+	vms, err := p.VMs(r.Context())
+	entries := make([]ramp.Entry, 0, len(vms))
+	for _, v := range vms {
+		value, _ := platform.EncodeInstance(ramp.Instance{ // strings and numbers are always encoded
+			Replica: ramp.Replica{ID: v.ID, Address: v.Address, Domain: v.Domain}, Service: v.Service, State: v.State,
+		})
+		entries = append(entries, ramp.Entry{Key: platform.ReplicaPrefix + v.ID, Value: value, Revision: 1})
+	}
+	slices.SortFunc(entries, func(a, b ramp.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries, err
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	millis, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
+	millis, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
 	wait := time.Duration(millis) * time.Millisecond
-	entries, revision, err := p.Watch(r.Context(), r.URL.Query().Get("prefix"), after, wait)
-	reply(w, encodeList(entries, revision), err)
+	entries, revision, err := p.Watch(r.Context(), r.URL.Query().Get("pathPrefix"), after, wait)
+	events := eventsWire{Events: []itemWire{}, AsOf: revision}
+	for _, e := range entries {
+		events.Events = append(events.Events, itemOf(e))
+	}
+	reply(w, events, err)
 }
 
+// swap serves transactions of one condition and one write, the only ones that
+// the system makes.
 func (p *Platform) swap(w http.ResponseWriter, r *http.Request) {
-	var request struct {
-		entryWire
-		Lease string `json:"lease"`
-	}
-	if json.NewDecoder(r.Body).Decode(&request) != nil {
+	var request transactionWire
+	err := json.NewDecoder(r.Body).Decode(&request)
+	if err != nil || len(request.Conditions) != 1 || len(request.Writes) != 1 ||
+		request.Conditions[0].Key != request.Writes[0].Key {
 		http.Error(w, "malformed body", http.StatusBadRequest)
 		return
 	}
-	revision, err := p.Swap(r.Context(), request.Key, request.Value, request.Revision, request.Lease)
-	reply(w, entryWire{Key: request.Key, Revision: revision}, err)
+	write, lease := request.Writes[0], ""
+	if write.Lease != 0 {
+		lease = strconv.FormatUint(write.Lease, 10)
+	}
+	revision, err := p.Swap(r.Context(), write.Key, write.Value, request.Conditions[0].Revision, lease)
+	reply(w, itemWire{Key: write.Key, Revision: revision}, err)
 }
 
 func (p *Platform) grant(w http.ResponseWriter, r *http.Request) {
-	id, err := p.Grant(r.Context(), time.Duration(leaseOf(r).Millis)*time.Millisecond)
-	reply(w, leaseWire{Lease: id}, err)
+	var request leaseWire
+	if json.NewDecoder(r.Body).Decode(&request) != nil {
+		http.Error(w, "malformed body", http.StatusBadRequest)
+		return
+	}
+	id, err := p.Grant(r.Context(), time.Duration(request.TTL)*time.Millisecond)
+	number, _ := strconv.ParseUint(id, 10, 64) // empty beside an error
+	reply(w, leaseWire{Lease: number, TTL: request.TTL}, err)
 }
 
 func (p *Platform) keep(w http.ResponseWriter, r *http.Request) {
-	reply(w, nil, p.Keep(r.Context(), leaseOf(r).Lease))
+	reply(w, leaseWire{}, p.Keep(r.Context(), r.PathValue("lease")))
 }
 
 func (p *Platform) revoke(w http.ResponseWriter, r *http.Request) {
-	reply(w, nil, p.Revoke(r.Context(), leaseOf(r).Lease))
+	reply(w, leaseWire{}, p.Revoke(r.Context(), r.PathValue("lease")))
 }
 
-func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request) {
-	vms, err := p.VMs(r.Context())
-	list := make([]VM, 0, len(vms))
-	for _, v := range vms {
-		list = append(list, VM{
-			ID: v.ID, Address: v.Address, Domain: v.Domain, Service: v.Service, State: string(v.State),
-		})
-	}
-	reply(w, list, err)
-}
-
-func leaseOf(r *http.Request) leaseWire {
-	var request leaseWire
-	_ = json.NewDecoder(r.Body).Decode(&request) // no lease has the id ""
-	return request
-}
-
-func encodeList(entries []ramp.Entry, revision uint64) listWire {
-	list := listWire{Entries: make([]entryWire, 0, len(entries)), Revision: revision}
-	for _, e := range entries {
-		list.Entries = append(list.Entries, entryWire(e))
-	}
-	return list
+func itemOf(e ramp.Entry) itemWire {
+	return itemWire{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Removed}
 }
 
 // reply writes the value or the error. A lost reply closes the connection.
@@ -164,7 +210,8 @@
 	case errors.As(err, &missing):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusConflict, entryWire{Key: conflict.Key, Revision: conflict.Revision})
+		current := itemWire{Key: conflict.Key, Revision: conflict.Revision}
+		writeJSON(w, http.StatusPreconditionFailed, itemsWire{Items: []itemWire{current}})
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -198,7 +198,7 @@
 	var id string
 	err := c.write(ctx, "grant", func() error {
 		s.revision++
-		id = fmt.Sprintf("lease-%d", s.revision)
+		id = strconv.FormatUint(s.revision, 10)
 		s.leases[id] = lease{ttl: ttl, end: s.clock.Now().Add(ttl)}
 		return nil
 	})
