--- a/cmd/sycamorerampd/main.go
+++ b/cmd/sycamorerampd/main.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -15,6 +17,7 @@
 	ramp "sycamoreramp.example/sycamoreramp"
 	"sycamoreramp.example/sycamoreramp/daemon"
 	"sycamoreramp.example/sycamoreramp/internal/version"
+	"sycamoreramp.example/sycamoreramp/platform"
 	"sycamoreramp.example/sycamoreramp/settings"
 )
 
@@ -26,7 +29,9 @@
 )
 
 type arguments struct {
-	Settings string `arg:"--settings,required" help:"TOML file with the daemon's settings"`
+	Settings string `arg:"--settings,required,env:SYCAMORERAMP_SETTINGS" help:"TOML file with the daemon's settings"`
+	Platform bool   `arg:"--platform" help:"run on the users' platform; the settings file has its format"`
+	Metrics  string `arg:"--metrics" help:"with --platform: port and path that serve the metrics, such as 9464/metrics"`
 }
 
 // Description implements go-arg's description.
@@ -60,6 +65,9 @@
 }
 
 func run(a arguments) error {
+	if a.Platform {
+		return runOnPlatform(a)
+	}
 	s, err := settings.Load(a.Settings)
 	if err != nil {
 		return &settingsError{Cause: err}
@@ -78,6 +86,40 @@
 	return d.Run(ctx)
 }
 
+// runOnPlatform runs a daemon on the users' platform.
+func runOnPlatform(a arguments) error {
+	load := func() (ramp.Deployment, error) { return platform.LoadSettings(a.Settings) }
+	d, err := load()
+	if err != nil {
+		return &settingsError{Cause: err}
+	}
+	address, path := "", ""
+	if a.Metrics != "" {
+		port, rest, _ := strings.Cut(a.Metrics, "/")
+		address, path = net.JoinHostPort(d.IP, port), "/"+rest
+	}
+	e, err := daemon.NewEdge(d, load, address, path, ramp.SystemClock{}, os.Stdout, slog.LevelInfo)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return e.Run(ctx, hangups())
+}
+
+// hangups passes on that the process got SIGHUP, which would end it otherwise.
+func hangups() <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	asked := make(chan struct{})
+	go func() {
+		for range signals {
+			asked <- struct{}{}
+		}
+	}()
+	return asked
+}
+
 // settingsError is a settings file that cannot be used.
 type settingsError struct {
 	Cause error
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -61,13 +61,16 @@
 		m.scope.Tagged(operation).Counter("missing").Inc(int64(1e6 * float64(missing) / float64(whole)))
 	}
 	for i := range answer.Attempts {
-		a := &answer.Attempts[i]
-		m.scope.Tagged(map[string]string{
-			"kind": string(a.Kind), "outcome": string(a.Outcome),
-		}).Counter("attempts").Inc(1)
-		if a.Connected {
-			m.scope.Counter("connections").Inc(1)
-		}
+		m.countAttempt(&answer.Attempts[i])
+	}
+}
+
+func (m *metrics) countAttempt(a *ramp.Attempt) {
+	m.scope.Tagged(map[string]string{
+		"kind": string(a.Kind), "outcome": string(a.Outcome),
+	}).Counter("attempts").Inc(1)
+	if a.Connected {
+		m.scope.Counter("connections").Inc(1)
 	}
 }
 
@@ -138,3 +141,60 @@
 
 // Close reports the last counts.
 func (m *metrics) Close() error { return m.closer.Close() }
+
+// ObserveDelivery counts a message and its attempts.
+func (m *metrics) ObserveDelivery(_ ramp.Message, d ramp.Delivery, err error) {
+	route := m.planTag(d.Route)
+	m.scope.Tagged(map[string]string{"route": route, "outcome": deliveryOutcome(d, err)}).Counter("messages").Inc(1)
+	m.scope.Tagged(map[string]string{"route": route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
+	m.scope.Tagged(map[string]string{"route": route}).Counter("missing_parts").Inc(int64(d.Missing))
+	for i := range d.Attempts {
+		m.countAttempt(&d.Attempts[i])
+	}
+}
+
+// deliveryOutcome returns "whole", "partial", "passed" for a failure that a
+// replica gave, or the reason of a refusal.
+func deliveryOutcome(d ramp.Delivery, err error) string {
+	var refused *ramp.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return string(refused.Reason)
+	case d.Missing > 0:
+		return "partial"
+	case d.Gathered() || d.Response.Succeeded():
+		return "whole"
+	}
+	return "passed"
+}
+
+// edgeState is what the gauges of a daemon on the platform show.
+type edgeState struct {
+	version  uint64        // configuration in force
+	age      time.Duration // since the last word from the store
+	members  int           // daemons of the fleet
+	replicas int           // that are listed
+	tasks    int           // that wait for a worker
+	dropped  int           // log lines since the start
+	leaving  bool
+}
+
+// EdgeHandler serves the metrics of a daemon on the platform.
+func (m *metrics) EdgeHandler(read func() edgeState) http.HandlerFunc {
+	text := m.reporter.HTTPHandler()
+	return func(w http.ResponseWriter, r *http.Request) {
+		s := read()
+		m.gauge("version", float64(s.version))
+		m.gauge("age", s.age.Seconds())
+		m.gauge("members", float64(s.members))
+		m.gauge("replicas", float64(s.replicas))
+		m.gauge("tasks", float64(s.tasks))
+		m.gauge("dropped_lines", float64(s.dropped))
+		leaving := 0.0
+		if s.leaving {
+			leaving = 1
+		}
+		m.gauge("leaving", leaving)
+		text.ServeHTTP(w, r)
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -22,6 +22,10 @@
 	ReasonTicket   Reason = "ticket"   // the order's ticket is unknown or was used otherwise
 	ReasonIssuer   Reason = "issuer"   // the ticket's issuer does not answer
 	ReasonRequest  Reason = "request"  // the request is malformed
+	ReasonRoutes   Reason = "routes"   // no configuration is known yet
+	ReasonRoute    Reason = "route"    // no route matches
+	ReasonSize     Reason = "size"     // the request is larger than the configuration allows
+	ReasonCaller   Reason = "caller"   // the caller went away
 )
 
 // RefusedError is a refusal of a caller's request.
@@ -43,6 +47,7 @@
 	Sent    bool    // a byte of the request may have reached the backend server
 	Cause   error   // may be nil
 
+	NotRun    bool // the backend server stated that the request did not run
 	Connected bool // a new connection was opened for it
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -113,6 +113,11 @@
 	return d
 }
 
+// Brief returns the daemon with what those need who know its registration.
+func (d Daemon) Brief() Daemon {
+	return Daemon{ID: d.ID, Incarnation: d.Incarnation, Leaving: d.Leaving}
+}
+
 // Finder finds daemons by their incarnation.
 type Finder interface {
 	// Find returns the member with the given incarnation.
--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -258,7 +258,7 @@
 	}
 	ctx := context.Background()
 	if r.now%(2*time.Second) == 0 {
-		h.lease = h.renew(ctx, h.lease)
+		h.lease = h.tenure().renew(ctx, h.lease)
 	}
 	if h.turn(0).reads {
 		_ = h.readMembers(ctx, 0)
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -51,7 +51,7 @@
 // Run follows until ctx ends. It starts one goroutine for each thing followed,
 // and returns when they have ended.
 func (f *Follower) Run(ctx context.Context) {
-	tasks := []func(context.Context){f.keepLease, f.watchLists, f.watchMembers, f.followVMs, f.exchangeNews}
+	tasks := []func(context.Context){f.tenure().keep, f.watchLists, f.watchMembers, f.followVMs, f.exchangeNews}
 	ended := make(chan struct{}, len(tasks))
 	for _, task := range tasks {
 		go func() {
@@ -64,6 +64,17 @@
 	}
 }
 
+// tenure returns what keeps the daemon registered.
+func (f *Follower) tenure() tenure {
+	return tenure{
+		clock: f.Clock, log: f.Log, daemon: f.Self, registry: f.Registry, leaving: f.Leaving,
+		members: func() int { return len(f.Roster.Live(f.Clock.Now())) },
+	}
+}
+
+// self returns the daemon as it stands now.
+func (f *Follower) self() ramp.Daemon { return f.tenure().self() }
+
 // followVMs reads the VM list and asks each backend server what it holds.
 func (f *Follower) followVMs(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -51,7 +51,7 @@
 
 // round does what the follower's goroutines do, each once.
 func (e *entry) round(ctx context.Context) {
-	e.record = e.renew(ctx, e.record)
+	e.record = e.tenure().renew(ctx, e.record)
 	after := e.Roster.Revision()
 	if members, current, err := e.Registry.WatchMembers(ctx, after, 0); err == nil {
 		e.applyMembers(ramp.MemberChange{After: after, Until: current, Members: members})
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -81,6 +81,25 @@
 	m.members.DeleteFunc(func(incarnation string, _ member) bool { return !listed[incarnation] })
 }
 
+// Update takes in the daemons that there are, without word of them. One that did
+// not answer stays so.
+func (m *Members) Update(daemons []ramp.Daemon) {
+	now := m.clock.Now()
+	there := make(map[string]bool, len(daemons))
+	for _, d := range daemons {
+		there[d.Incarnation] = true
+		m.members.Update(d.Incarnation, func(old member) member {
+			if old.seen.IsZero() {
+				return old.WithDaemon(d, now)
+			}
+			d.Leaving = d.Leaving || old.daemon.Leaving
+			old.daemon = d
+			return old
+		})
+	}
+	m.members.DeleteFunc(func(incarnation string, _ member) bool { return !there[incarnation] })
+}
+
 // Hear takes in word from a daemon that is a member: that it is there, and
 // whether it leaves. A daemon that the store does not list stays unknown.
 func (m *Members) Hear(d ramp.Daemon) {
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -170,7 +170,7 @@
 	_, confirmed := f.Lists.Current()
 	version, digest := f.Lists.Version()
 	return ramp.News{
-		From:      f.self(),
+		From:      f.self().Brief(),
 		Version:   version,
 		Digest:    digest,
 		Revision:  f.Roster.Revision(),
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -15,25 +16,35 @@
 	entry ramp.Daemon   // as last written under the lease; zero for none
 }
 
+// tenure keeps a daemon registered in the store.
+type tenure struct {
+	clock    ramp.Clock
+	log      *slog.Logger
+	daemon   ramp.Daemon
+	registry ramp.Registry
+	members  func() int      // registered daemons
+	leaving  <-chan struct{} // closed when the daemon starts to leave; nil if it never does
+}
+
 // self returns the daemon as it stands now.
-func (f *Follower) self() ramp.Daemon {
+func (t tenure) self() ramp.Daemon {
 	select {
-	case <-f.Leaving:
-		return f.Self.WithLeaving()
+	case <-t.leaving:
+		return t.daemon.WithLeaving()
 	default:
-		return f.Self
+		return t.daemon
 	}
 }
 
-// keepLease registers the daemon under a lease and renews it. When the lease
-// has ended it registers anew, and at once when the daemon starts to leave.
-func (f *Follower) keepLease(ctx context.Context) {
+// keep registers the daemon under a lease and renews it. When the lease has
+// ended it registers anew, and at once when the daemon starts to leave.
+func (t tenure) keep(ctx context.Context) {
 	var r registration
-	leaving := f.Leaving
+	leaving := t.leaving
 	for ctx.Err() == nil {
-		r = f.renew(ctx, r)
+		r = t.renew(ctx, r)
 		expired := make(chan struct{})
-		stop := f.Clock.AfterFunc(f.keepPeriod(), func() { close(expired) })
+		stop := t.clock.AfterFunc(t.period(), func() { close(expired) })
 		select {
 		case <-expired:
 		case <-leaving:
@@ -45,55 +56,54 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeWithin)
 	defer cancel()
 	if r.lease != "" {
-		_ = f.Registry.Revoke(ctx, r.lease) // it ends by itself otherwise
+		_ = t.registry.Revoke(ctx, r.lease) // it ends by itself otherwise
 	}
 }
 
-// keepPeriod returns the time between renewals of the lease. It grows with the
+// period returns the time between renewals of the lease. It grows with the
 // fleet, so that the store can bear the writes of all daemons together.
-func (f *Follower) keepPeriod() time.Duration {
-	members := time.Duration(len(f.Roster.Live(f.Clock.Now())))
-	return max(leaseTTL/leasePeriods, members*time.Second/keepRate)
+func (t tenure) period() time.Duration {
+	return max(leaseTTL/leasePeriods, time.Duration(t.members())*time.Second/keepRate)
 }
 
 // renew returns the registration as it is after one round.
-func (f *Follower) renew(ctx context.Context, r registration) registration {
-	if r.life < 2*f.keepPeriod() {
+func (t tenure) renew(ctx context.Context, r registration) registration {
+	if r.life < 2*t.period() {
 		r.lease = "" // the fleet has grown, so renewals are rarer now
 	}
 	if r.lease == "" {
-		return f.register(ctx, r)
+		return t.register(ctx, r)
 	}
-	err := f.Registry.Keep(ctx, r.lease)
+	err := t.registry.Keep(ctx, r.lease)
 	var ended *ramp.NotFoundError
 	switch {
-	case err == nil && r.entry == f.self():
+	case err == nil && r.entry == t.self():
 		return r
 	case errors.As(err, &ended):
 		r = registration{}
 	case err != nil:
-		f.Log.Warn("lease not renewed", "error", err)
+		t.log.Warn("lease not renewed", "error", err)
 		return r
 	}
-	return f.register(ctx, r)
+	return t.register(ctx, r)
 }
 
 // register writes the daemon's entry, under a new lease if there is none.
-func (f *Follower) register(ctx context.Context, r registration) registration {
-	self := f.self()
+func (t tenure) register(ctx context.Context, r registration) registration {
+	self := t.self()
 	var err error
 	if r.lease == "" {
-		r.life = leasePeriods * f.keepPeriod()
-		r.lease, err = f.Registry.Grant(ctx, r.life)
+		r.life = leasePeriods * t.period()
+		r.lease, err = t.registry.Grant(ctx, r.life)
 	}
 	if err == nil {
-		err = f.Registry.Register(ctx, self, r.lease)
+		err = t.registry.Register(ctx, self, r.lease)
 	}
 	if err != nil {
-		f.Log.Warn("daemon not registered", "error", err)
+		t.log.Warn("daemon not registered", "error", err)
 		return r
 	}
 	r.entry = self
-	f.Log.Info("daemon registered", "lease", r.lease, "leaving", self.Leaving)
+	t.log.Info("daemon registered", "lease", r.lease, "leaving", self.Leaving)
 	return r
 }
--- /dev/null
+++ b/message.go
@@ -0,0 +1,66 @@
+package sycamoreramp
+
+import (
+	"context"
+	"time"
+)
+
+// Field is a field of a message's head.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Message is a caller's request as it is passed on to replicas.
+type Message struct {
+	ID     string  // the caller's id for it; another one for each of its own retries
+	Method string  // as the caller sent it
+	Host   string  // as the caller sent it
+	Target string  // path and query as the caller sent them
+	Fields []Field // without those that concern one connection or that the system sets; never modified
+	Body   []byte  // whole; never modified
+}
+
+// Call is one attempt to let a replica answer a message.
+type Call struct {
+	Message     Message
+	Instance    Instance
+	Deadline    time.Time // the replica stops work then
+	Idempotent  bool      // the message may run more than once
+	Part        bool      // the response is one of many that make an answer
+	Connections int       // that may be open to the replica at once; at least 1
+}
+
+// Response is what a replica sent for a call.
+type Response struct {
+	Status    int
+	Fields    []Field // those to pass on, in the order of their names; never modified
+	Stamp     string  // the replica's signature; "" for none
+	Body      []byte  // whole; never modified
+	Connected bool    // a new connection was opened for it
+}
+
+// Succeeded reports whether the status tells of success.
+func (r Response) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
+
+// WithStamp returns the response with the replica's signature.
+func (r Response) WithStamp(stamp string) Response {
+	r.Stamp = stamp
+	return r
+}
+
+// Exchanger sends calls to replicas.
+type Exchanger interface {
+	// Exchange sends the call once and returns the whole response, checked against
+	// the call, or an [*AttemptError].
+	Exchange(ctx context.Context, c Call) (Response, error)
+}
+
+// Framing translates between calls and the fields of messages on the wire.
+type Framing interface {
+	// Fields returns the fields that the system adds to the message of a call.
+	Fields(c Call, left time.Duration) []Field
+	// Judge returns the response with its signature, or an [*AttemptError] when it
+	// is no answer to the call.
+	Judge(c Call, r Response) (Response, error)
+}
--- a/peer/news.go
+++ b/peer/news.go
@@ -8,11 +8,10 @@
 	"sycamoreramp.example/sycamoreramp/platform"
 )
 
-// encodeNews returns the message for news. Of the sender it carries only what
-// the membership does not tell.
+// encodeNews returns the message for news.
 func encodeNews(n ramp.News, credential string) (*wire.News, error) {
 	message := &wire.News{
-		From:        &wire.Daemon{Id: n.From.ID, Incarnation: n.From.Incarnation, Leaving: n.From.Leaving},
+		From:        encodeDaemon(n.From),
 		Version:     n.Version,
 		Digest:      n.Digest[:],
 		Revision:    n.Revision,
@@ -20,6 +19,7 @@
 		Leaving:     n.Leaving,
 		Credential:  credential,
 		Members:     encodeMembers(n.Members),
+		Entries:     encodeEntries(n.Entries),
 	}
 	if n.Lists.Version > 0 {
 		lists, err := platform.EncodeLists(n.Lists)
@@ -52,6 +52,7 @@
 		Confirmed: time.Duration(m.GetConfirmedMs()) * time.Millisecond,
 		Leaving:   m.GetLeaving(),
 		Members:   decodeMembers(m.GetMembers()),
+		Entries:   decodeEntries(m.GetEntries()),
 	}
 	if len(m.GetLists()) > 0 {
 		lists, err := platform.DecodeLists(m.GetLists())
@@ -100,6 +101,29 @@
 	}, nil
 }
 
+func encodeEntries(c ramp.EntryChange) *wire.EntryChange {
+	if c.Until == 0 {
+		return nil
+	}
+	message := &wire.EntryChange{After: c.After, Until: c.Until}
+	for _, e := range c.Entries {
+		message.Entries = append(message.Entries, &wire.Entry{
+			Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed,
+		})
+	}
+	return message
+}
+
+func decodeEntries(m *wire.EntryChange) ramp.EntryChange {
+	change := ramp.EntryChange{After: m.GetAfter(), Until: m.GetUntil()}
+	for _, e := range m.GetEntries() {
+		change.Entries = append(change.Entries, ramp.Entry{
+			Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved(),
+		})
+	}
+	return change
+}
+
 func encodeMembers(c ramp.MemberChange) *wire.MemberChange {
 	if c.Until == 0 {
 		return nil
--- a/peers.go
+++ b/peers.go
@@ -8,12 +8,13 @@
 // News is what daemons tell each other. It states what the sender has, and
 // carries only what the receiver is known to lack.
 type News struct {
-	From      Daemon        // the sender; only the id, the incarnation and Leaving are sent
+	From      Daemon        // the sender; at least its id, its incarnation and Leaving
 	Version   uint64        // version of the sender's lists; 0 for none
 	Digest    Digest        // of the sender's lists
 	Revision  uint64        // store revision of the sender's membership; 0 for none
 	Lists     Lists         // whole lists for the receiver; Version 0 for none
 	Change    ListsChange   // from the receiver's lists to the sender's; Version 0 for none
+	Entries   EntryChange   // from the receiver's view of the store to the sender's; Until 0 for none
 	Members   MemberChange  // from the receiver's membership to the sender's; Until 0 for none
 	Confirmed time.Duration // age of the sender's last word from the store
 	Used      []Usage       // counters by plan; at most 64
--- a/platform.go
+++ b/platform.go
@@ -39,6 +39,27 @@
 	Revoke(ctx context.Context, lease string) error
 }
 
+// EntryChange is what changed in the store between two of its revisions.
+type EntryChange struct {
+	After   uint64  // revision that it applies to; 0 when Entries is all there is
+	Until   uint64  // revision that it leads to
+	Entries []Entry // last change of each key; never modified
+}
+
+// Record is what an entry of the store says. At most one of its fields is set.
+type Record struct {
+	Routing  *Routing  // the operator's configuration
+	Instance *Instance // a replica; of a removed entry only the id is set
+	Member   *Member   // a daemon
+}
+
+// Translator reads entries of the store.
+type Translator interface {
+	// Translate returns the record of the entry, or an error for one that cannot
+	// be used.
+	Translate(e Entry) (Record, error)
+}
+
 // ArchiveSize is how many earlier versions of the lists are kept.
 const ArchiveSize = 256
 
--- a/pool.go
+++ b/pool.go
@@ -1,26 +1,28 @@
 package sycamoreramp
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
-// Pool runs tasks on a fixed number of workers, in the order of their arrival.
-// All work on backend servers runs on it. An idle worker blocks; it does not
-// poll.
+// Pool runs tasks on a bounded number of workers, in the order of their
+// arrival. All work on backend servers runs on it. A worker starts when a task
+// finds none idle, and stays. An idle worker blocks; it does not poll.
 type Pool struct {
 	tasks   chan func()
 	stop    chan struct{}
+	limit   int64 // workers that may be started
+	started atomic.Int64
+	idle    atomic.Int64 // workers that wait, less the tasks that were handed to them
 	workers sync.WaitGroup
-	once    sync.Once
+	mutex   sync.Mutex // guards the start of workers against Close
+	closed  bool
 }
 
-// NewPool starts a pool of the given number of workers. Up to queue tasks wait
-// for a worker before Submit refuses more.
+// NewPool returns a pool of at most the given number of workers. Up to queue
+// tasks wait for a worker before Submit refuses more.
 func NewPool(workers, queue int) *Pool {
-	p := &Pool{tasks: make(chan func(), queue), stop: make(chan struct{})}
-	p.workers.Add(workers)
-	for range workers {
-		go p.work()
-	}
-	return p
+	return &Pool{tasks: make(chan func(), queue), stop: make(chan struct{}), limit: int64(workers)}
 }
 
 // Submit hands a task to the workers. It reports false when the queue is full
@@ -33,10 +35,24 @@
 	}
 	select {
 	case p.tasks <- task:
-		return true
 	default:
 		return false
 	}
+	if p.idle.Add(-1) < 0 && p.started.Load() < p.limit {
+		p.start()
+	}
+	return true
+}
+
+// start adds a worker unless there are enough or the pool is closed.
+func (p *Pool) start() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed || p.started.Load() >= p.limit {
+		return
+	}
+	p.started.Add(1)
+	p.workers.Go(p.work)
 }
 
 // Waiting returns the number of tasks that wait for a worker.
@@ -44,13 +60,18 @@
 
 // Close lets the running tasks end and drops those that still wait.
 func (p *Pool) Close() {
-	p.once.Do(func() { close(p.stop) })
+	p.mutex.Lock()
+	if !p.closed {
+		p.closed = true
+		close(p.stop)
+	}
+	p.mutex.Unlock()
 	p.workers.Wait()
 }
 
 func (p *Pool) work() {
-	defer p.workers.Done()
 	for {
+		p.idle.Add(1)
 		select {
 		case <-p.stop:
 			return
--- a/query.go
+++ b/query.go
@@ -112,6 +112,7 @@
 	Cancelled   Outcome = "cancelled"   // given up before it ended
 	Failed      Outcome = "failed"      // any other error of the backend server
 	Unstarted   Outcome = "unstarted"   // no worker or no replica was free
+	Misdirected Outcome = "misdirected" // another backend server has the address
 )
 
 // Attempt is one request to one replica.
@@ -126,6 +127,7 @@
 	Elapsed   time.Duration // since the attempt started; zero while Pending
 	Outcome   Outcome       // Pending until it ended
 	Sent      bool          // a byte may have reached the backend server
+	NotRun    bool          // the backend server stated that it did not run
 	Connected bool          // a new connection was opened for it
 }
 
--- /dev/null
+++ b/query/pursuit.go
@@ -0,0 +1,353 @@
+package query
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	ramp "sycamoreramp.example/sycamoreramp"
+)
+
+// sweepShare is the part of the delay of a hedge after which parts are looked at
+// again.
+const sweepShare = 3
+
+// normalTime is the time to which replies of different routes are scaled, so that
+// they say the same of a replica.
+const normalTime = 10 * time.Millisecond
+
+// pursuit follows one message. Workers of the pool run its attempts; its parts
+// are a shared table, by the service's position in the route.
+type pursuit struct {
+	relay    *Relay
+	message  ramp.Message
+	route    ramp.Route
+	routing  ramp.Routing
+	started  time.Time
+	deadline time.Time
+	parts    *ramp.Table[int, part]
+	count    int           // parts
+	quorum   int           // parts without which there is no answer
+	delay    time.Duration // of a hedge
+	typical  time.Duration // of a reply; 0 if unknown
+	context  context.Context
+	cancel   context.CancelFunc
+	numbers  atomic.Int64  // attempts numbered so far
+	open     atomic.Int64  // parts that are neither in nor given up
+	in       atomic.Int64  // parts that are in
+	late     atomic.Bool   // the quorum suffices from now on
+	done     chan struct{} // closed when there is nothing to wait for
+	once     sync.Once     // closes done
+}
+
+func (r *Relay) newPursuit(
+	ctx context.Context, m ramp.Message, route ramp.Route, routing ramp.Routing, started, deadline time.Time,
+) *pursuit {
+	services := r.services(route)
+	p := &pursuit{
+		relay: r, message: m, route: route, routing: routing, started: started, deadline: deadline,
+		parts: ramp.NewTable[int, part](ramp.RankQueries), count: len(services), quorum: len(services),
+		delay: r.Repeater.HedgeAfter(route), typical: r.Repeater.Typical(route.Name),
+		done: make(chan struct{}),
+	}
+	if route.Gathered() {
+		p.quorum = route.Quorum()
+	}
+	if !route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	p.context, p.cancel = context.WithCancel(ctx)
+	p.open.Store(int64(p.count))
+	for i, s := range services {
+		r.Repeater.Arrived(s)
+		p.parts.Put(i, newPart(p.context, s))
+	}
+	return p
+}
+
+// run sends the first attempts and waits for the answer.
+func (p *pursuit) run(ctx context.Context, d ramp.Delivery) (ramp.Delivery, error) {
+	clock := p.relay.Clock
+	expired := make(chan struct{})
+	stop := clock.AfterFunc(p.deadline.Sub(clock.Now()), func() { close(expired) })
+	defer stop()
+	if p.route.Gathered() && p.route.Objective > 0 {
+		defer clock.AfterFunc(p.route.Objective-p.relay.Margin, p.cut)()
+	}
+	if p.route.Idempotent && p.route.Attempts > 1 {
+		defer clock.AfterFunc(p.delay, p.sweep)()
+	}
+	for i := range p.count {
+		p.submit(i, ramp.First)
+	}
+	gone := ctx.Done()
+	if !p.route.Idempotent {
+		gone = nil
+	}
+	left := false
+	select {
+	case <-p.done:
+	case <-expired:
+	case <-gone:
+		left = true
+	}
+	return p.conclude(d, left)
+}
+
+// cut lets the quorum suffice from now on.
+func (p *pursuit) cut() {
+	p.late.Store(true)
+	p.check()
+}
+
+// check ends the wait when every part is settled, or when enough are in and it is
+// late.
+func (p *pursuit) check() {
+	if p.open.Load() == 0 || p.late.Load() && p.in.Load() >= int64(p.quorum) {
+		p.once.Do(func() { close(p.done) })
+	}
+}
+
+// sweep starts another attempt for each part whose last one takes long, and looks
+// again a little later.
+func (p *pursuit) sweep() {
+	if p.context.Err() != nil {
+		return
+	}
+	elapsed := p.elapsed()
+	for i := range p.count {
+		if state, _ := p.parts.Get(i); state.overdue(p.delay, elapsed) {
+			p.submit(i, ramp.Hedge)
+		}
+	}
+	p.relay.Clock.AfterFunc(p.delay/sweepShare, p.sweep)
+}
+
+func (p *pursuit) elapsed() time.Duration { return p.relay.Clock.Now().Sub(p.started) }
+
+// submit lets a worker run an attempt. Without room for it the part is given up.
+func (p *pursuit) submit(index int, kind ramp.AttemptKind) {
+	if !p.relay.Pool.Submit(func() { p.try(index, kind) }) {
+		p.giveUp(index)
+	}
+}
+
+// try runs an attempt to its end, if there is a replica and the budget allows it.
+func (p *pursuit) try(index int, kind ramp.AttemptKind) {
+	state, _ := p.parts.Get(index)
+	if state.closed || kind == ramp.Hedge && !state.overdue(p.delay, p.elapsed()) {
+		return
+	}
+	if state.sent() >= p.route.Attempts {
+		p.giveUp(index)
+		return
+	}
+	instance, footing, ok := p.relay.Picker.Pick(state.service, state.attempts)
+	if !ok {
+		p.giveUp(index)
+		return
+	}
+	a := p.attempt(state.service, kind, instance)
+	if kind == ramp.Hedge && footing != ramp.Sound || state.sent() > 0 && !p.relay.Repeater.Allow(state.service) {
+		p.relay.Picker.Done(a.WithOutcome(ramp.Cancelled, 0, false))
+		p.giveUp(index)
+		return
+	}
+	p.send(index, a, instance)
+}
+
+func (p *pursuit) attempt(service string, kind ramp.AttemptKind, i ramp.Instance) ramp.Attempt {
+	return ramp.Attempt{
+		Number: int(p.numbers.Add(1)) - 1, Kind: kind, Shard: ramp.Shard{ID: service}, Replica: i.Replica,
+		Started: p.elapsed(), Outcome: ramp.Pending,
+	}
+}
+
+// send records the attempt as pending and runs it, unless the part is closed.
+func (p *pursuit) send(index int, a ramp.Attempt, i ramp.Instance) {
+	open := false
+	state := p.parts.Update(index, func(s part) part {
+		if open = !s.closed && s.sent() < p.route.Attempts; open {
+			return s.WithAttempt(a)
+		}
+		return s
+	})
+	if !open {
+		p.relay.Picker.Done(a.WithOutcome(ramp.Cancelled, 0, false))
+		return
+	}
+	response, err := p.relay.Exchange.Exchange(state.context, ramp.Call{
+		Message: p.message, Instance: i, Deadline: p.deadline, Idempotent: p.route.Idempotent,
+		Part: p.route.Gathered(), Connections: p.connections(state.service),
+	})
+	p.finish(index, a, response, err)
+}
+
+// connections returns the daemon's part of the connections to each replica of
+// the service.
+func (p *pursuit) connections(service string) int {
+	return max(1, p.routing.Connections[service]/max(1, p.relay.Members()))
+}
+
+// finish records the outcome of an attempt and decides what follows from it.
+func (p *pursuit) finish(index int, a ramp.Attempt, response ramp.Response, err error) {
+	a = p.judge(a, response, err)
+	merged := false
+	state := p.parts.Update(index, func(s part) part {
+		switch {
+		case a.Outcome != ramp.Merged:
+			return s.WithOutcome(a).WithFailure(response)
+		case s.closed:
+			a.Outcome = ramp.Late
+			return s.WithOutcome(a)
+		}
+		merged = true
+		return s.WithOutcome(a).WithMerged(response)
+	})
+	p.tell(a)
+	switch {
+	case merged:
+		state.cancel()
+		p.in.Add(1)
+		p.settled()
+	case state.closed || state.pending() > 0:
+	case p.route.Idempotent || !a.Sent || a.NotRun:
+		p.submit(index, ramp.Retry)
+	default:
+		p.giveUp(index)
+	}
+}
+
+// judge returns the attempt with its outcome. It is Merged for a success.
+func (p *pursuit) judge(a ramp.Attempt, response ramp.Response, err error) ramp.Attempt {
+	elapsed := p.elapsed() - a.Started
+	var failed *ramp.AttemptError
+	switch {
+	case errors.As(err, &failed):
+		a.Connected, a.NotRun = failed.Connected, failed.NotRun
+		return a.WithOutcome(failed.Outcome, elapsed, failed.Sent)
+	case err != nil:
+		return a.WithOutcome(ramp.Failed, elapsed, true)
+	}
+	a.Connected = response.Connected
+	if response.Succeeded() || !p.route.Gathered() && response.Status < serverErrors {
+		return a.WithOutcome(ramp.Merged, elapsed, true)
+	}
+	return a.WithOutcome(ramp.Failed, elapsed, true)
+}
+
+// serverErrors is the first status that speaks of a failure of the replica.
+const serverErrors = 500
+
+// tell passes the outcome of an attempt on. The time is scaled by what is typical
+// of the route.
+func (p *pursuit) tell(a ramp.Attempt) {
+	p.relay.Repeater.Observe(p.route.Name, a)
+	if p.typical > 0 {
+		a.Elapsed = time.Duration(float64(a.Elapsed) * float64(normalTime) / float64(p.typical))
+	}
+	p.relay.Picker.Done(a)
+	switch a.Outcome {
+	case ramp.Merged, ramp.Late, ramp.Cancelled:
+	default:
+		p.relay.Log.Info("attempt failed", "request", p.message.ID, "route", p.route.Name, "service", a.Shard.ID,
+			"replica", a.Replica.ID, "kind", a.Kind, "outcome", a.Outcome, "sent", a.Sent, "unrun", a.NotRun,
+			"connected", a.Connected, "elapsed", a.Elapsed)
+	}
+}
+
+// giveUp closes a part without a response, unless an attempt is still pending.
+func (p *pursuit) giveUp(index int) {
+	closed := false
+	p.parts.Update(index, func(s part) part {
+		if s.closed || s.pending() > 0 {
+			return s
+		}
+		closed = true
+		return s.WithClosed()
+	})
+	if closed {
+		p.settled()
+	}
+}
+
+func (p *pursuit) settled() {
+	p.open.Add(-1)
+	p.check()
+}
+
+// conclude closes all parts and returns the answer, or a [*ramp.RefusedError].
+func (p *pursuit) conclude(d ramp.Delivery, left bool) (ramp.Delivery, error) {
+	states := make([]part, 0, p.count)
+	for i := range p.count {
+		states = append(states, p.parts.Update(i, part.WithClosed))
+	}
+	elapsed := p.elapsed()
+	mayHaveRun := false
+	for _, s := range states {
+		mayHaveRun = mayHaveRun || s.mayHaveRun()
+		for _, a := range s.attempts {
+			if a.Outcome == ramp.Pending {
+				a = a.WithOutcome(ramp.Cancelled, elapsed-a.Started, true)
+			}
+			d.Attempts = append(d.Attempts, a)
+		}
+	}
+	slices.SortFunc(d.Attempts, func(a, b ramp.Attempt) int { return cmp.Compare(a.Number, b.Number) })
+	d.Whole = p.count
+	if left {
+		return d, p.refuse(ramp.ReasonCaller, mayHaveRun)
+	}
+	if p.route.Gathered() {
+		return p.gather(d, states, mayHaveRun)
+	}
+	if s := states[0]; s.merged || s.response.Status > 0 {
+		d.Response = s.response
+		return d, nil
+	}
+	return d, p.refuse(p.reason(), mayHaveRun)
+}
+
+// gather puts the answer together from the parts that are in.
+func (p *pursuit) gather(d ramp.Delivery, states []part, mayHaveRun bool) (ramp.Delivery, error) {
+	var bodies [][]byte
+	for _, s := range states {
+		if s.merged {
+			bodies = append(bodies, s.response.Body)
+			d.Stamps = append(d.Stamps, s.response.Stamp)
+		}
+	}
+	d.Missing = p.count - len(d.Stamps)
+	if len(d.Stamps) < p.quorum {
+		d.Stamps = nil
+		return d, p.refuse(p.reason(), mayHaveRun)
+	}
+	d.Response.Body = greatest(bodies, p.route.Top)
+	return d, nil
+}
+
+func (p *pursuit) reason() ramp.Reason {
+	if !p.relay.Clock.Now().Before(p.deadline) {
+		return ramp.ReasonDeadline
+	}
+	return ramp.ReasonReplica
+}
+
+func (p *pursuit) refuse(reason ramp.Reason, mayHaveRun bool) error {
+	if mayHaveRun {
+		return &ramp.RefusedError{Reason: reason, Ran: ramp.RanUnknown}
+	}
+	return &ramp.RefusedError{Reason: reason, Ran: ramp.NotRun, After: comeBack}
+}
+
+func asRelayed(err error) *ramp.RefusedError {
+	var refused *ramp.RefusedError
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return nil
+}
--- /dev/null
+++ b/relay.go
@@ -0,0 +1,77 @@
+package sycamoreramp
+
+import (
+	"context"
+	"time"
+)
+
+// Picker chooses replicas of services by the daemon's own attempts.
+type Picker interface {
+	// Pick returns the replica for an attempt, none of those tried, and how it
+	// stands. It counts as busy until Done is called for the attempt.
+	Pick(service string, tried []Attempt) (Instance, Footing, bool)
+	// Done tells how an attempt ended.
+	Done(a Attempt)
+}
+
+// Footing says how a replica stood when it was picked.
+type Footing string
+
+// The footings of a replica, best first.
+const (
+	Sound    Footing = "sound"    // registered and answering
+	Vanished Footing = "vanished" // its entry was removed a moment ago
+	Avoided  Footing = "avoided"  // it failed lately
+	Drained  Footing = "drained"  // it began to drain a moment ago
+)
+
+// Repeater bounds the attempts beyond the first over all daemons.
+type Repeater interface {
+	// Arrived counts a caller's request for the service.
+	Arrived(service string)
+	// Allow reports whether another attempt at the service fits in the budget now,
+	// and spends it.
+	Allow(service string) bool
+	// HedgeAfter returns how long an attempt on the route may take before another
+	// one is started beside it.
+	HedgeAfter(route Route) time.Duration
+	// Typical returns the median time of a reply on the route, 0 if unknown.
+	Typical(route string) time.Duration
+	// Observe tells how an attempt on the route ended.
+	Observe(route string, a Attempt)
+}
+
+// Delivery is the answer to a message. It has a response of one replica, or is
+// put together from parts.
+type Delivery struct {
+	Route    string    // name of the route; "" for none
+	Version  uint64    // of the routing under which the message was answered
+	Response Response  // of one replica; of a gathered answer only the body is set
+	Stamps   []string  // signatures of the parts that are in; never modified
+	Missing  int       // parts that are left out
+	Whole    int       // parts that a complete answer has; 1 for a response of one replica
+	Attempts []Attempt // never modified
+	Elapsed  time.Duration
+}
+
+// Gathered reports whether the answer is put together from parts.
+func (d Delivery) Gathered() bool { return len(d.Stamps) > 0 }
+
+// Registrar takes in what the store says of replicas.
+type Registrar interface {
+	// Learn takes in the entry of a replica and reports whether it brought news.
+	Learn(i Instance) bool
+	// Vanish takes in that an entry was removed. It reports whether the replica is
+	// known.
+	Vanish(id string) bool
+	// Expire forgets the replicas whose entries have been missing for too long, and
+	// returns them.
+	Expire() []Instance
+}
+
+// Asker answers callers' messages.
+type Asker interface {
+	// Ask answers a message that the caller waits for up to limit, 0 if it does not
+	// say. It returns a [*RefusedError] when there is no answer.
+	Ask(ctx context.Context, m Message, limit time.Duration) (Delivery, error)
+}
--- a/replica/load.go
+++ b/replica/load.go
@@ -69,6 +69,9 @@
 		}
 	case ramp.Unreachable, ramp.Expired, ramp.Truncated, ramp.Mismatched, ramp.Failed:
 		l = l.withFailure(now)
+	case ramp.Misdirected:
+		l = l.withFailure(now)
+		l.Avoid = now.Add(maxBreak)
 	}
 	return l
 }
@@ -133,13 +136,17 @@
 // Score is the expected time until a reply. The replica with the lowest one is
 // the best. The average latency fades, so that a replica that was slow is tried
 // again.
-func (l Load) Score(now time.Time) float64 {
+func (l Load) Score(now time.Time) float64 { return l.scoreBehind(float64(l.Busy+1), now) }
+
+// scoreBehind is the expected time until a reply at the end of a queue of the
+// given length.
+func (l Load) scoreBehind(queue float64, now time.Time) float64 {
 	expected := float64(neutral)
 	if l.Latency > 0 {
 		age := float64(now.Sub(l.Seen)) / float64(fadeTime)
 		expected = float64(l.Latency) / (1 + age)
 	}
-	expected *= float64(l.Busy + 1)
+	expected *= queue
 	if l.Open <= l.Busy {
 		expected += float64(connectTime)
 	}
--- /dev/null
+++ b/replica/pick.go
@@ -0,0 +1,139 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	ramp "sycamoreramp.example/sycamoreramp"
+)
+
+// Weights of what speaks against a replica, in requests that it would have to
+// work off first.
+const (
+	crossWeight = 1 // it is in another failure domain
+	stallWeight = 4 // it has not replied for long
+	coldWeight  = 1 // it has just started
+)
+
+// stallFactor is how many times the average latency a replica may take before
+// it counts as stalled.
+const stallFactor = 3
+
+// spread is the share by which scores are varied, so that daemons which know the
+// same do not all choose the same replica.
+const spread = 0.1
+
+// record is what the daemon's own attempts tell of one start of a replica. It is
+// an immutable value.
+type record struct {
+	Load
+	born     int64     // start that the record is of
+	address  string    // where that start listens
+	progress time.Time // last reply, or when the oldest attempt was placed
+}
+
+// placed returns the record with one more attempt at the given start.
+func (r record) placed(i ramp.Instance, now time.Time) record {
+	if r.born != i.Born || r.address != i.Address {
+		r = record{born: i.Born, address: i.Address}
+	}
+	if r.Busy == 0 {
+		r.progress = now
+	}
+	r.Load = r.WithPlaced()
+	return r
+}
+
+// done returns the record after an attempt ended.
+func (r record) done(a ramp.Attempt, now time.Time) record {
+	r.Load = r.WithDone(a, now)
+	if a.Outcome == ramp.Merged || a.Outcome == ramp.Late || a.Outcome == ramp.Shed {
+		r.progress = now
+	}
+	return r
+}
+
+// stalled reports whether a reply is long overdue.
+func (r record) stalled(now time.Time) bool {
+	return r.Busy > 0 && now.Sub(r.progress) > stallFactor*max(r.Latency, neutral)
+}
+
+// Picker picks replicas of services by their entries in the store and by the
+// daemon's own attempts. It implements [ramp.Picker].
+type Picker struct {
+	clock     ramp.Clock
+	domain    string // the daemon's own failure domain
+	instances *Instances
+	records   *ramp.Table[string, record] // by id
+}
+
+// NewPicker returns a picker that has seen no attempt yet.
+func NewPicker(instances *Instances, domain string, clock ramp.Clock) *Picker {
+	return &Picker{
+		clock: clock, domain: domain, instances: instances,
+		records: ramp.NewTable[string, record](ramp.RankReplicas),
+	}
+}
+
+// standings orders the footings of replicas.
+var standings = map[ramp.Footing]int{ramp.Sound: 0, ramp.Avoided: 1, ramp.Vanished: 2, ramp.Drained: 3}
+
+// Pick implements [ramp.Picker].
+func (p *Picker) Pick(service string, tried []ramp.Attempt) (ramp.Instance, ramp.Footing, bool) {
+	now := p.clock.Now()
+	var best listed
+	var bestFooting ramp.Footing
+	found, lowest := false, 0.0
+	for _, l := range p.instances.of(service) {
+		footing, ok := l.footing(now)
+		if !ok || wasTried(tried, l.ID) {
+			continue
+		}
+		r, _ := p.records.Get(l.ID)
+		if r.born != l.Born || r.address != l.Address {
+			r = record{}
+		}
+		if footing == ramp.Sound && r.Avoided(now) {
+			footing = ramp.Avoided
+		}
+		score := p.score(l, r, now)
+		better := standings[footing] < standings[bestFooting] || footing == bestFooting && score < lowest
+		if !found || better {
+			found, best, bestFooting, lowest = true, l, footing, score
+		}
+	}
+	if !found {
+		return ramp.Instance{}, "", false
+	}
+	p.records.Update(best.ID, func(r record) record { return r.placed(best.Instance, now) })
+	return best.Instance, bestFooting, true
+}
+
+// score returns the expected time until a reply.
+func (p *Picker) score(l listed, r record, now time.Time) float64 {
+	queue := float64(r.Busy + 1)
+	if l.Domain != p.domain {
+		queue += crossWeight
+	}
+	if r.stalled(now) {
+		queue += stallWeight
+	}
+	if l.Cold > 0 && now.Sub(l.learnt) < l.Cold {
+		queue += coldWeight
+	}
+	return r.scoreBehind(queue, now) * (1 + spread*rand.Float64())
+}
+
+// Done implements [ramp.Picker].
+func (p *Picker) Done(a ramp.Attempt) {
+	now := p.clock.Now()
+	p.records.Change(a.Replica.ID, func(r record) record {
+		if r.address != a.Replica.Address {
+			return r // the replica has started again meanwhile
+		}
+		return r.done(a, now)
+	})
+}
+
+// Forget drops what is known of a replica that is gone.
+func (p *Picker) Forget(id string) { p.records.Delete(id) }
--- a/table.go
+++ b/table.go
@@ -9,7 +9,8 @@
 
 // The lock order over the shared tables, lowest first.
 const (
-	RankLists    Rank = iota + 1 // lists in force
+	RankChanges  Rank = iota + 1 // changes of the view of the store, taken in one after the other
+	RankLists                    // lists in force
 	RankDaemons                  // members of the fleet
 	RankLayouts                  // holdings and snapshots
 	RankPlans                    // shares and usage by plan
