query: keep a merged part when a failure comes after it

Ruled out: responses to other requests (all parts echo the id), truncated parts (all lengths match). TestFailureAfterMerge fails without the change.

--- a/query/part.go
+++ b/query/part.go
@@ -55,9 +55,9 @@
 }
 
 // WithFailure returns the part with a response that tells of a failure. It is
-// passed on if nothing better comes.
+// passed on if nothing better came or comes.
 func (p part) WithFailure(r ramp.Response) part {
-	if r.Stamp != "" {
+	if r.Stamp != "" && !p.merged {
 		p.response = r
 	}
 	return p
