query: count an objective from the caller's first attempt, hedge sooner

What a caller states that it still waits tells how long ago it began. Hedges came at the 92nd percentile and used 5% of the 20% that they may; at the 85th, and with a replica counted as stalled at twice its latency, parts come sooner. Ruled out: processor time (0.05 cores).

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -126,7 +126,7 @@
 		Exchange: backend.NewExchanger(platform.Framing{}, e.clock),
 		Members:  e.observer.Fleet, Margin: edgeMargin, Observe: e.metrics.ObserveDelivery,
 	}
-	front := platform.Front{Asker: relay, Routes: e.routes, Leaving: e.isLeaving}
+	front := platform.Front{Asker: relay.Init(), Routes: e.routes, Leaving: e.isLeaving}
 	e.serve(d.Callers, front).ConnState = e.idle.Observe
 	directory := http.NewServeMux()
 	directory.HandleFunc("GET /resolve", platform.Addresses(e.members, min(d.AddressLife, d.Grace/lifeParts)))
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -19,6 +19,7 @@
 	silentAfter   = 2500 * time.Millisecond // age of the last word from the store at which a daemon watches by itself
 	smallFleet    = 8                       // daemons up to which every one watches
 	heardLife     = 3 * time.Second         // for which a daemon that the store does not list counts after its last word
+	sizeLife      = 10 * time.Second        // for which a larger fleet counts, as long as what its daemons used may
 	expirePeriod  = 500 * time.Millisecond
 )
 
@@ -43,7 +44,9 @@
 
 	confirmed  atomic.Int64 // clock time in nanoseconds of the last word from the store, 0 for none
 	turn       atomic.Uint64
-	changes    *ramp.Mutex                      // held while a change is taken in
+	changes    *ramp.Mutex // held while a change is taken in
+	started    time.Time
+	size       *ramp.Table[string, fleetSize]   // one entry
 	registered *ramp.Table[string, ramp.Daemon] // by incarnation, as the store lists them
 	heard      *ramp.Table[string, heardFrom]   // by incarnation
 	contact    *ramp.Table[string, bool]        // by peer, whether the last call to it was answered
@@ -58,6 +61,8 @@
 // Init makes the observer ready for calls of others, before Run.
 func (o *Observer) Init() {
 	o.changes = ramp.NewMutex(ramp.RankChanges)
+	o.started = o.Clock.Now()
+	o.size = ramp.NewTable[string, fleetSize](ramp.RankDaemons)
 	o.registered = ramp.NewTable[string, ramp.Daemon](ramp.RankDaemons)
 	o.heard = ramp.NewTable[string, heardFrom](ramp.RankDaemons)
 	o.contact = ramp.NewTable[string, bool](ramp.RankDaemons)
@@ -85,8 +90,34 @@
 	}
 }
 
-// Fleet returns the number of daemons that share bounds with this one.
-func (o *Observer) Fleet() int { return len(o.Members.All()) }
+// Fleet returns the number of daemons that share bounds with this one: the most
+// that there were lately, and at least a small fleet while others may not be
+// known yet.
+func (o *Observer) Fleet() int {
+	now := o.Clock.Now()
+	size, _ := o.size.Get("")
+	if now.Sub(o.started) < leaseTTL {
+		return max(size.most, smallFleet)
+	}
+	return max(size.most, 1)
+}
+
+// count takes in how many daemons there are.
+func (o *Observer) count(members int) {
+	now := o.Clock.Now()
+	o.size.Update("", func(old fleetSize) fleetSize {
+		if members >= old.most || now.Sub(old.at) > sizeLife {
+			return fleetSize{most: members, at: now}
+		}
+		return old
+	})
+}
+
+// fleetSize is the most daemons there were lately. It is an immutable value.
+type fleetSize struct {
+	most int
+	at   time.Time // when there were last so many
+}
 
 // Age returns the age of the last word from the store, and reports whether there
 // was one.
@@ -229,6 +260,7 @@
 		all = append(all, d)
 	}
 	o.Members.Update(all)
+	o.count(len(all))
 }
 
 // expire forgets the replicas that have been missing for too long.
--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -28,6 +28,7 @@
 	route    ramp.Route
 	routing  ramp.Routing
 	started  time.Time
+	age      time.Duration // since the caller first asked, until started
 	deadline time.Time
 	parts    *ramp.Table[int, part]
 	count    int           // parts
@@ -76,7 +77,7 @@
 	stop := clock.AfterFunc(p.deadline.Sub(clock.Now()), func() { close(expired) })
 	defer stop()
 	if p.route.Gathered() && p.route.Objective > 0 {
-		defer clock.AfterFunc(p.route.Objective-p.relay.Margin, p.cut)()
+		defer clock.AfterFunc(p.patience(), p.cut)()
 	}
 	if p.route.Idempotent && p.route.Attempts > 1 {
 		defer clock.AfterFunc(p.delay, p.sweep)()
@@ -98,6 +99,17 @@
 	return p.conclude(d, left)
 }
 
+// patience returns for how long a complete answer is waited for. After the
+// objective there is nothing to hurry for, so a caller that asks again gets as
+// long as one that asks for the first time.
+func (p *pursuit) patience() time.Duration {
+	left := p.route.Objective - p.relay.Margin
+	if p.age < left {
+		left -= p.age
+	}
+	return left
+}
+
 // cut lets the quorum suffice from now on.
 func (p *pursuit) cut() {
 	p.late.Store(true)
--- a/query/relay.go
+++ b/query/relay.go
@@ -23,7 +23,7 @@
 
 // Relay answers callers' messages from replicas: with the response of one, or
 // put together from the parts of many. It knows nothing of how either are
-// encoded. All fields must be set before the first call.
+// encoded. All fields must be set before Init.
 type Relay struct {
 	Clock    ramp.Clock
 	Log      *slog.Logger
@@ -36,7 +36,25 @@
 	Margin   time.Duration                                    // kept back of an objective for the way to the caller
 	Observe  func(m ramp.Message, d ramp.Delivery, err error) // called once for each message
 
-	splits atomic.Uint64 // messages on split routes so far
+	splits atomic.Uint64                      // messages on split routes so far
+	waits  *ramp.Table[string, time.Duration] // longest wait that a caller stated, by route
+}
+
+// Init makes the relay ready for the first call.
+func (r *Relay) Init() *Relay {
+	r.waits = ramp.NewTable[string, time.Duration](ramp.RankBudgets)
+	return r
+}
+
+// age returns how long ago the caller of a message first asked. Callers state how
+// long they still wait, so what is missing from the longest wait on the route has
+// gone by.
+func (r *Relay) age(route string, limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	longest := r.waits.Update(route, func(old time.Duration) time.Duration { return max(old, limit) })
+	return longest - limit
 }
 
 // Ask answers a message that the caller waits for up to limit, 0 if it does not
@@ -72,6 +90,7 @@
 		deadline = started.Add(limit)
 	}
 	p := r.newPursuit(ctx, m, route, routing, started, deadline)
+	p.age = r.age(route.Name, limit)
 	defer p.cancel()
 	return p.run(ctx, delivery)
 }
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -24,12 +24,12 @@
 // answer is how a replica of the script behaves.
 type answer struct {
 	after  time.Duration
-	status int            // 0 for no response
-	fails  ramp.Outcome   // without a response
-	unrun  bool           // the replica says that it did not run the request
-	unsent bool           // there was no connection
-	body   string         // records of the part
-	stuck  bool           // no reply before the deadline, whatever the caller does
+	status int          // 0 for no response
+	fails  ramp.Outcome // without a response
+	unrun  bool         // the replica says that it did not run the request
+	unsent bool         // there was no connection
+	body   string       // records of the part
+	stuck  bool         // no reply before the deadline, whatever the caller does
 }
 
 // script plays the replicas. It implements [ramp.Exchanger].
@@ -44,7 +44,7 @@
 	}
 	select {
 	case <-time.After(a.after):
-	case <-time.After(time.Until(c.Deadline)):
+	case <-time.After(time.Until(c.Deadline) + ms): // never at the same moment as the relay
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Expired, Sent: true}
 	case <-wait.Done():
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Cancelled, Sent: true}
@@ -66,12 +66,13 @@
 		instances.Learn(ramp.Instance{Replica: ramp.Replica{ID: id, Address: id}, Service: name, State: ramp.Live})
 	}
 	one := func() int { return 1 }
-	return &query.Relay{
+	relay := &query.Relay{
 		Clock: clock, Log: slog.New(slog.DiscardHandler), Pool: ramp.NewPool(64, 64), Routes: routes,
-		Picker: replica.NewPicker(instances, "", clock),
+		Picker:   replica.NewPicker(instances, "", clock),
 		Repeater: retry.NewRepeats(retry.Bounds{Ratio: 1, Slack: 100, Window: time.Second}, one, clock),
 		Exchange: s, Members: one, Margin: 10 * time.Millisecond, Observe: func(ramp.Message, ramp.Delivery, error) {},
 	}
+	return relay.Init()
 }
 
 func gathered() ramp.Route {
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -17,7 +17,7 @@
 
 // stallFactor is how many times the average latency a replica may take before
 // it counts as stalled.
-const stallFactor = 3
+const stallFactor = 2
 
 // spread is the share by which scores are varied, so that daemons which know the
 // same do not all choose the same replica.
--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -15,7 +15,7 @@
 
 const (
 	slots      = 20                   // parts of the window that are counted apart
-	hedgeRank  = 0.92                 // quantile of replies after which a hedge starts
+	hedgeRank  = 0.85                 // quantile of replies after which a hedge starts
 	startShare = 4                    // part of the objective that a hedge waits while little was observed
 	floorHedge = 3 * time.Millisecond // shortest wait before a hedge
 	fewMembers = 2                    // daemons that are assumed at least
