--- a/replica/pick.go
+++ b/replica/pick.go
@@ -10,7 +10,7 @@
 // Weights of what speaks against a replica, in requests that it would have to
 // work off first.
 const (
-	crossWeight = 1 // it is in another failure domain
+	crossWeight = 3 // it is in another failure domain
 	stallWeight = 4 // it has not replied for long
 	coldWeight  = 1 // it has just started
 )
