--- /dev/null
+++ b/backend/exchange_test.go
@@ -0,0 +1,218 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ramp "sycamoreramp.example/sycamoreramp"
+	"sycamoreramp.example/sycamoreramp/internal/golden"
+)
+
+// echoing takes responses that name their request. It implements [ramp.Framing].
+type echoing struct{}
+
+// Fields implements [ramp.Framing].
+func (echoing) Fields(c ramp.Call, left time.Duration) []ramp.Field {
+	return []ramp.Field{{Name: "Id", Value: c.Message.ID}, {Name: "Left", Value: left.Round(time.Minute).String()}}
+}
+
+// Judge implements [ramp.Framing].
+func (echoing) Judge(c ramp.Call, r ramp.Response) (ramp.Response, error) {
+	for _, f := range r.Fields {
+		if f.Name == "Id" && f.Value == c.Message.ID {
+			return r, nil
+		}
+	}
+	return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Mismatched, Sent: true}
+}
+
+// rawServer answers each request with what reply returns for its number. Each
+// connection gets the requests of one client in turn.
+type rawServer struct {
+	net.Listener
+	opened atomic.Int64
+	served atomic.Int64
+}
+
+func newRawServer(t *testing.T, reply func(number int64, r *http.Request, c net.Conn) bool) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{Listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil || !reply(s.served.Add(1), r, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) call(id string, idempotent bool) ramp.Call {
+	return ramp.Call{
+		Message:  ramp.Message{ID: id, Method: http.MethodGet, Host: "h", Target: "/x?y=%2F"},
+		Instance: ramp.Instance{Replica: ramp.Replica{ID: "i", Address: s.Addr().String()}},
+		Deadline: time.Now().Add(300 * time.Millisecond), Idempotent: idempotent, Connections: 2,
+	}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// TestExchange sends two calls in turn to a replica that misbehaves at the first,
+// and records what becomes of both and how many connections they took.
+func TestExchange(t *testing.T) {
+	write := func(c net.Conn, s string) bool { _, err := c.Write([]byte(s)); return err == nil }
+	tests := []struct {
+		name  string
+		once  bool
+		first func(c net.Conn, id string) bool
+	}{
+		{"sound", false, func(c net.Conn, id string) bool { return write(c, ok(id, "body")) }},
+		{"runs once", true, func(c net.Conn, id string) bool { return write(c, ok(id, "body")) }},
+		{"an answer more with it", false, func(c net.Conn, id string) bool { return write(c, ok(id, "body")+ok(id, "more")) }},
+		{"an answer more a little later", false, func(c net.Conn, id string) bool {
+			done := write(c, ok(id, "body"))
+			time.Sleep(10 * time.Millisecond)
+			return done && write(c, ok(id, "more"))
+		}},
+		{"closes after it", false, func(c net.Conn, id string) bool {
+			return write(c, strings.Replace(ok(id, "body"), "\r\n", "\r\nConnection: close\r\n", 1))
+		}},
+		{"no length", false, func(c net.Conn, id string) bool { write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nbody"); return false }},
+		{"no length, reset", false, func(c net.Conn, id string) bool {
+			write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nbod")
+			time.Sleep(10 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}},
+		{"short", false, func(c net.Conn, id string) bool { write(c, ok(id, "body")[:len(ok(id, "body"))-2]); return false }},
+		{"no answer in the protocol", false, func(c net.Conn, _ string) bool { return write(c, "garbage\r\n\r\n") }},
+		{"another's answer", false, func(c net.Conn, _ string) bool { return write(c, ok("other", "body")) }},
+		{"closed", false, func(net.Conn, string) bool { return false }},
+		{"silent", false, func(net.Conn, string) bool { return true }},
+		{"an early hint", false, func(c net.Conn, id string) bool { return write(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+ok(id, "body")) }},
+	}
+	var b strings.Builder
+	for _, test := range tests {
+		s := newRawServer(t, func(number int64, r *http.Request, c net.Conn) bool {
+			if number == 1 {
+				return test.first(c, r.Header.Get("Id"))
+			}
+			return write(c, ok(r.Header.Get("Id"), "second"))
+		})
+		e := NewExchanger(echoing{}, ramp.SystemClock{})
+		fmt.Fprintf(&b, "%s:", test.name)
+		for _, id := range []string{"one", "two"} {
+			r, err := e.Exchange(t.Context(), s.call(id, !test.once))
+			var failed *ramp.AttemptError
+			if errors.As(err, &failed) {
+				fmt.Fprintf(&b, " %s sent=%t;", failed.Outcome, failed.Sent)
+			} else {
+				fmt.Fprintf(&b, " %d %q;", r.Status, r.Body)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		fmt.Fprintf(&b, " connections=%d\n", s.opened.Load())
+	}
+	golden.Check(t, "exchange", b.String())
+}
+
+// TestLateAnswer fails when an answer that comes once the next request has been
+// sent is taken for that request's.
+func TestLateAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t, func(number int64, r *http.Request, c net.Conn) bool {
+		late := ""
+		if number == 2 {
+			late = ok("one", "late")
+		}
+		_, err := c.Write([]byte(late + ok(r.Header.Get("Id"), "own")))
+		return err == nil
+	})
+	e := NewExchanger(echoing{}, ramp.SystemClock{})
+	_, err := e.Exchange(t.Context(), s.call("one", true))
+	is.NoErr(err)
+	_, err = e.Exchange(t.Context(), s.call("two", true))
+	var failed *ramp.AttemptError
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Outcome, ramp.Mismatched)
+	r, err := e.Exchange(t.Context(), s.call("three", true))
+	is.NoErr(err)
+	is.Equal(string(r.Body), "own")
+	is.Equal(s.opened.Load(), int64(2))
+}
+
+// TestConnectionsAreBounded fails when more connections are opened than the call
+// allows.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newRawServer(t, func(int64, *http.Request, net.Conn) bool { return true })
+	e := NewExchanger(echoing{}, ramp.SystemClock{})
+	results := make(chan error, 4)
+	for range 4 {
+		go func() {
+			_, err := e.Exchange(t.Context(), s.call("id", true))
+			results <- err
+		}()
+	}
+	unstarted := 0
+	for range 4 {
+		var failed *ramp.AttemptError
+		is.True(errors.As(<-results, &failed))
+		if failed.Outcome == ramp.Unstarted {
+			unstarted++
+			is.True(!failed.Sent)
+		}
+	}
+	is.Equal(unstarted, 2)
+	is.Equal(s.opened.Load(), int64(2))
+}
+
+// TestCancelledCall fails when the connection of a cancelled call stays open, so
+// that the replica works on.
+func TestCancelledCall(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := newRawServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		var one [1]byte
+		_, _ = c.Read(one[:])
+		close(closed)
+		return false
+	})
+	e := NewExchanger(echoing{}, ramp.SystemClock{})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := e.Exchange(ctx, s.call("id", true))
+	var failed *ramp.AttemptError
+	is.True(errors.As(err, &failed))
+	is.Equal(failed.Outcome, ramp.Cancelled)
+	<-closed
+}
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -12,7 +12,8 @@
 // Times and sizes of the observer.
 const (
 	observeWait   = 2 * time.Second        // of a watch; with its reply's delay below the bound on being in touch
-	observePause  = 250 * time.Millisecond // after a failed call, and between looks at whether to watch
+	observePause  = 250 * time.Millisecond // after a failed call, doubling, and between looks at whether to watch
+	observeRest   = time.Second            // longest pause after failed calls; they are priced like others
 	observeSettle = 200 * time.Millisecond // after a change, so that those that come close together are read together
 	tellPeriod    = 400 * time.Millisecond // between exchanges with other daemons
 	tellTimeout   = 500 * time.Millisecond
@@ -23,6 +24,9 @@
 	expirePeriod  = 500 * time.Millisecond
 )
 
+// maxShift bounds how often a pause doubles.
+const maxShift = 8
+
 // Observer keeps a daemon's view of the store up to date, from the store or from
 // other daemons, and tells those what they lack. All fields must be set before
 // Init.
@@ -140,7 +144,7 @@
 
 // watch follows the store.
 func (o *Observer) watch(ctx context.Context) {
-	after := uint64(0)
+	after, failures := uint64(0), 0
 	for ctx.Err() == nil {
 		if !o.watches() {
 			_ = ramp.Wait(ctx, o.Clock, observePause)
@@ -158,8 +162,10 @@
 			return
 		}
 		o.reached("store", err)
-		pause := observePause
+		pause := min(observeRest, observePause<<min(failures, maxShift))
+		failures++
 		if err == nil {
+			failures = 0
 			o.confirm(started)
 			o.apply(ramp.EntryChange{After: after, Until: until, Entries: entries}, "store")
 			after, pause = max(after, until), 0
--- a/imports_test.go
+++ b/imports_test.go
@@ -80,3 +80,41 @@
 	}
 	return imports
 }
+
+// platformNames are names that the users' platform gave to fields and calls and
+// that mean nothing elsewhere.
+var platformNames = []string{
+	"X-Deadline-Ms", "X-Part-Stamps", "X-Missing-Parts", "X-Target-Instance", "X-Not-Executed", "X-Server-Stamp",
+	"X-Request-Id", "pathPrefix", "trafficSplit", "minCoverage", "targetLatencyMs", "maxConnections", "topK",
+	"kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep", "warmupLeftMs", "expectedRevision",
+	"bindAddrs", "graceS", "retryBudget", "ttl_max_s", "op/config", "X-Instance-Id",
+}
+
+// TestPlatformNamesStayInside fails when a package other than platform names a
+// field of the users' platform. Stand-ins speak its protocol and may.
+func TestPlatformNamesStayInside(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && (path == "platform" || path == "internal" || path == "target" || path == ".git") {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, name := range platformNames {
+			if strings.Contains(string(text), name) {
+				t.Errorf("%s names %s", path, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
