query: let a daemon near the replicas collect their parts

Weighed: direct calls (680 bytes a part); one daemon of that zone for all its parts, which passes on signatures and the greatest records alone. The daemon asked makes one attempt each and sends what is in when a hedge would start, the rest one by one; the daemon that asks makes the other attempts, so that the attempts of a route hold though the other daemon falls silent.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -123,10 +123,12 @@
 		Repeater: retry.NewRepeats(retry.Bounds{
 			Ratio: d.RepeatRatio, Slack: d.RepeatSlack, Window: d.RepeatWindow,
 		}, e.observer.Fleet, e.clock),
-		Exchange: backend.NewExchanger(platform.Framing{}, e.clock),
-		Members:  e.observer.Fleet, Margin: edgeMargin, Observe: e.metrics.ObserveDelivery,
+		Exchange:  backend.NewExchanger(platform.Framing{}, e.clock),
+		Collector: e.peers, Helpers: fleet.NewHelpers(e.members, e.clock),
+		Members: e.observer.Fleet, Margin: edgeMargin, Observe: e.metrics.ObserveDelivery,
 	}
-	front := platform.Front{Asker: relay.Init(), Routes: e.routes, Leaving: e.isLeaving}
+	e.peer.WithCollector(relay.Init())
+	front := platform.Front{Asker: relay, Routes: e.routes, Leaving: e.isLeaving}
 	e.serve(d.Callers, front).ConnState = e.idle.Observe
 	directory := http.NewServeMux()
 	directory.HandleFunc("GET /resolve", platform.Addresses(e.members, min(d.AddressLife, d.Grace/lifeParts)))
--- /dev/null
+++ b/peer/gather.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	ramp "sycamoreramp.example/sycamoreramp"
+	"sycamoreramp.example/sycamoreramp/peer/wire"
+)
+
+// errBatch is the cause of a batch whose lists do not fit each other.
+var errBatch = errors.New("the batch is malformed")
+
+// Collect implements [ramp.Collector].
+func (c *Client) Collect(
+	ctx context.Context, to ramp.Daemon, collection ramp.Collection, receive func(ramp.Batch),
+) error {
+	opened := &dialler{}
+	client := wire.NewDRPCGatherClient(c.pool.Get(ctx, to.Peer, opened.dial))
+	stream, err := client.Collect(ctx, encodeCollection(collection, c.credential, c.clock.Now()))
+	if err != nil {
+		return &ramp.PeerError{Daemon: to.ID, Sent: !opened.failed, Cause: err}
+	}
+	defer stream.Close()
+	for {
+		message, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &ramp.PeerError{Daemon: to.ID, Sent: true, Cause: err}
+		}
+		batch, err := decodeBatch(message, len(collection.Services))
+		if err != nil {
+			return &ramp.PeerError{Daemon: to.ID, Sent: true, Cause: err}
+		}
+		receive(batch)
+	}
+}
+
+// WithCollector lets the server serve collections as well.
+func (s *Server) WithCollector(handler ramp.CollectHandler) *Server {
+	s.collector = handler
+	return s
+}
+
+// Collect implements the generated server interface.
+func (s *Server) Collect(request *wire.Collection, stream wire.DRPCGather_CollectStream) error {
+	if !s.admits(request.GetCredential()) {
+		return errCredential
+	}
+	collection := decodeCollection(request, s.clock.Now())
+	return s.collector.Collected(stream.Context(), collection, func(b ramp.Batch) error {
+		return stream.Send(encodeBatch(b))
+	})
+}
+
+func encodeCollection(c ramp.Collection, credential string, now time.Time) *wire.Collection {
+	message := &wire.Collection{
+		Credential: credential, Id: c.Message.ID, Method: c.Message.Method, Host: c.Message.Host,
+		Target: c.Message.Target, Route: c.Route.Name, ObjectiveUs: c.Route.Objective.Microseconds(),
+		Top: uint32(c.Route.Top), Services: c.Services, LeftUs: c.Deadline.Sub(now).Microseconds(),
+	}
+	for _, f := range c.Message.Fields {
+		message.Fields = append(message.Fields, &wire.Field{Name: f.Name, Value: f.Value})
+	}
+	return message
+}
+
+func decodeCollection(m *wire.Collection, now time.Time) ramp.Collection {
+	c := ramp.Collection{
+		Message: ramp.Message{ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Target: m.GetTarget()},
+		Route: ramp.Route{
+			Name: m.GetRoute(), Idempotent: true, Attempts: 1, Top: int(m.GetTop()),
+			Objective: time.Duration(m.GetObjectiveUs()) * time.Microsecond, Gather: m.GetServices(),
+		},
+		Services: m.GetServices(), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
+	}
+	for _, f := range m.GetFields() {
+		c.Message.Fields = append(c.Message.Fields, ramp.Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return c
+}
+
+func encodeBatch(b ramp.Batch) *wire.Batch {
+	message := &wire.Batch{Records: b.Records}
+	for _, p := range b.In {
+		message.In = append(message.In, uint32(p.Index))
+		message.Stamps = append(message.Stamps, p.Stamp)
+	}
+	for _, p := range b.Out {
+		message.Out = append(message.Out, uint32(p.Index))
+		message.Replicas = append(message.Replicas, p.Replica)
+	}
+	return message
+}
+
+// decodeBatch reads a batch of parts of so many services.
+func decodeBatch(m *wire.Batch, services int) (ramp.Batch, error) {
+	if len(m.GetIn()) != len(m.GetStamps()) || len(m.GetOut()) != len(m.GetReplicas()) {
+		return ramp.Batch{}, errBatch
+	}
+	batch := ramp.Batch{Records: m.GetRecords()}
+	for i, index := range m.GetIn() {
+		if int(index) >= services {
+			return ramp.Batch{}, errBatch
+		}
+		batch.In = append(batch.In, ramp.PartIn{Index: int(index), Stamp: m.GetStamps()[i]})
+	}
+	for i, index := range m.GetOut() {
+		if int(index) >= services {
+			return ramp.Batch{}, errBatch
+		}
+		batch.Out = append(batch.Out, ramp.PartOut{Index: int(index), Replica: m.GetReplicas()[i]})
+	}
+	return batch, nil
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -25,6 +26,9 @@
 	inAll       = 256 // kept connections to all daemons
 )
 
+// managed lets a call be cancelled without closing its connection.
+var managed = drpcmanager.Options{SoftCancel: true}
+
 // errCredential is the cause of a refused call between daemons.
 var errCredential = errors.New("the credential between daemons is wrong")
 
@@ -68,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(connection), nil
+	return drpcconn.NewWithOptions(connection, drpcconn.Options{Manager: managed}), nil
 }
 
 // dialler opens connections for one call and notes when that failed, so that
@@ -88,6 +92,7 @@
 	handler    ramp.PeerHandler
 	clock      ramp.Clock
 	credential string
+	collector  ramp.CollectHandler // nil for none
 	calls      calls
 }
 
@@ -106,7 +111,13 @@
 	if err := wire.DRPCRegisterHandover(mux, s); err != nil {
 		return err
 	}
-	return drpcserver.New(s.calls.count(mux)).Serve(ctx, listener)
+	if s.collector != nil {
+		if err := wire.DRPCRegisterGather(mux, s); err != nil {
+			return err
+		}
+	}
+	server := drpcserver.NewWithOptions(s.calls.count(mux), drpcserver.Options{Manager: managed})
+	return server.Serve(ctx, listener)
 }
 
 // Drain waits until no call of another daemon is in progress and all replies
--- a/query.go
+++ b/query.go
@@ -128,6 +128,7 @@
 	Outcome   Outcome       // Pending until it ended
 	Sent      bool          // a byte may have reached the backend server
 	NotRun    bool          // the backend server stated that it did not run
+	Hop       bool          // another daemon was asked to make it
 	Connected bool          // a new connection was opened for it
 }
 
--- a/query/part.go
+++ b/query/part.go
@@ -63,6 +63,28 @@
 	return p
 }
 
+// withHop returns the part after the daemon that was asked for it has answered or
+// failed.
+func (p part) withHop(outcome ramp.Outcome, elapsed time.Duration) part {
+	for _, a := range p.attempts {
+		if a.Hop && a.Outcome == ramp.Pending {
+			p = p.WithOutcome(a.WithOutcome(outcome, max(0, elapsed-a.Started), true))
+		}
+	}
+	return p
+}
+
+// withAsked returns the part with the replica that the daemon asked for it.
+func (p part) withAsked(replica string) part {
+	p.attempts = slices.Clone(p.attempts)
+	for i := range p.attempts {
+		if p.attempts[i].Hop && replica != "" {
+			p.attempts[i].Replica.ID = replica
+		}
+	}
+	return p
+}
+
 // pending returns the number of attempts without an outcome.
 func (p part) pending() int {
 	n := 0
--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -37,12 +37,17 @@
 	typical  time.Duration // of a reply; 0 if unknown
 	context  context.Context
 	cancel   context.CancelFunc
-	numbers  atomic.Int64  // attempts numbered so far
-	open     atomic.Int64  // parts that are neither in nor given up
-	in       atomic.Int64  // parts that are in
-	late     atomic.Bool   // the quorum suffices from now on
-	done     chan struct{} // closed when there is nothing to wait for
-	once     sync.Once     // closes done
+	numbers  atomic.Int64 // attempts numbered so far
+	open     atomic.Int64 // parts that are neither in nor given up
+	in       atomic.Int64 // parts that are in
+	late     atomic.Bool  // the quorum suffices from now on
+	merges   chan int     // indexes of the parts that come in; nil unless they are wanted one by one
+
+	batches   *ramp.Mutex // held while a batch is taken in, and while the answer is put together
+	concluded bool        // no batch is taken in any more; guarded by batches
+
+	done chan struct{} // closed when there is nothing to wait for
+	once sync.Once     // closes done
 }
 
 func (r *Relay) newPursuit(
@@ -53,7 +58,7 @@
 		relay: r, message: m, route: route, routing: routing, started: started, deadline: deadline,
 		parts: ramp.NewTable[int, part](ramp.RankQueries), count: len(services), quorum: len(services),
 		delay: r.Repeater.HedgeAfter(route), typical: r.Repeater.Typical(route.Name),
-		done: make(chan struct{}),
+		done: make(chan struct{}), batches: ramp.NewMutex(ramp.RankBatches),
 	}
 	if route.Gathered() {
 		p.quorum = route.Quorum()
@@ -64,7 +69,6 @@
 	p.context, p.cancel = context.WithCancel(ctx)
 	p.open.Store(int64(p.count))
 	for i, s := range services {
-		r.Repeater.Arrived(s)
 		p.parts.Put(i, newPart(p.context, s))
 	}
 	return p
@@ -82,9 +86,7 @@
 	if p.route.Idempotent && p.route.Attempts > 1 {
 		defer clock.AfterFunc(p.delay, p.sweep)()
 	}
-	for i := range p.count {
-		p.submit(i, ramp.First)
-	}
+	p.start()
 	gone := ctx.Done()
 	if !p.route.Idempotent {
 		gone = nil
@@ -99,6 +101,34 @@
 	return p.conclude(d, left)
 }
 
+// start makes the first attempts, or lets daemons of other failure domains make
+// them.
+func (p *pursuit) start() {
+	hopped := make(map[int]bool)
+	if p.route.Gathered() && p.route.Attempts > 1 && p.relay.Helpers != nil && len(p.message.Body) == 0 {
+		for _, h := range p.hops(p.route.Gather) {
+			at := p.elapsed() + hopTime
+			for _, i := range h.indexes {
+				hopped[i] = true
+				p.parts.Update(i, func(s part) part {
+					return s.WithAttempt(ramp.Attempt{
+						Number: int(p.numbers.Add(1)) - 1, Kind: ramp.First, Shard: ramp.Shard{ID: s.service}, Hop: true,
+						Replica: ramp.Replica{ID: h.helper.ID}, Started: at, Outcome: ramp.Pending,
+					})
+				})
+			}
+			if !p.relay.Pool.Submit(func() { p.ask(h) }) {
+				p.endHop(h, false)
+			}
+		}
+	}
+	for i := range p.count {
+		if !hopped[i] {
+			p.submit(i, ramp.First)
+		}
+	}
+}
+
 // patience returns for how long a complete answer is waited for. After the
 // objective there is nothing to hurry for, so a caller that asks again gets as
 // long as one that asks for the first time.
@@ -158,6 +188,9 @@
 		p.giveUp(index)
 		return
 	}
+	if kind == ramp.First {
+		p.relay.Repeater.Arrived(state.service)
+	}
 	instance, footing, ok := p.relay.Picker.Pick(state.service, state.attempts)
 	if !ok {
 		p.giveUp(index)
@@ -224,6 +257,9 @@
 	switch {
 	case merged:
 		state.cancel()
+		if p.merges != nil {
+			p.merges <- index // it has room for every part
+		}
 		p.in.Add(1)
 		p.settled()
 	case state.closed || state.pending() > 0:
@@ -294,10 +330,7 @@
 
 // conclude closes all parts and returns the answer, or a [*ramp.RefusedError].
 func (p *pursuit) conclude(d ramp.Delivery, left bool) (ramp.Delivery, error) {
-	states := make([]part, 0, p.count)
-	for i := range p.count {
-		states = append(states, p.parts.Update(i, part.WithClosed))
-	}
+	states := p.close()
 	elapsed := p.elapsed()
 	mayHaveRun := false
 	for _, s := range states {
@@ -324,6 +357,18 @@
 	return d, p.refuse(p.reason(), mayHaveRun)
 }
 
+// close closes all parts and returns them.
+func (p *pursuit) close() []part {
+	p.batches.Lock()
+	defer p.batches.Unlock()
+	p.concluded = true
+	states := make([]part, 0, p.count)
+	for i := range p.count {
+		states = append(states, p.parts.Update(i, part.WithClosed))
+	}
+	return states
+}
+
 // gather puts the answer together from the parts that are in.
 func (p *pursuit) gather(d ramp.Delivery, states []part, mayHaveRun bool) (ramp.Delivery, error) {
 	var bodies [][]byte
--- a/query/relay.go
+++ b/query/relay.go
@@ -25,16 +25,18 @@
 // put together from the parts of many. It knows nothing of how either are
 // encoded. All fields must be set before Init.
 type Relay struct {
-	Clock    ramp.Clock
-	Log      *slog.Logger
-	Pool     *ramp.Pool
-	Routes   ramp.Routes
-	Picker   ramp.Picker
-	Repeater ramp.Repeater
-	Exchange ramp.Exchanger
-	Members  func() int                                       // daemons that share the connections to replicas
-	Margin   time.Duration                                    // kept back of an objective for the way to the caller
-	Observe  func(m ramp.Message, d ramp.Delivery, err error) // called once for each message
+	Clock     ramp.Clock
+	Log       *slog.Logger
+	Pool      *ramp.Pool
+	Routes    ramp.Routes
+	Picker    ramp.Picker
+	Repeater  ramp.Repeater
+	Exchange  ramp.Exchanger
+	Collector ramp.Collector
+	Helpers   ramp.Helpers                                     // nil to ask all replicas directly
+	Members   func() int                                       // daemons that share the connections to replicas
+	Margin    time.Duration                                    // kept back of an objective for the way to the caller
+	Observe   func(m ramp.Message, d ramp.Delivery, err error) // called once for each message
 
 	splits atomic.Uint64                      // messages on split routes so far
 	waits  *ramp.Table[string, time.Duration] // longest wait that a caller stated, by route
--- a/relay.go
+++ b/relay.go
@@ -12,6 +12,9 @@
 	Pick(service string, tried []Attempt) (Instance, Footing, bool)
 	// Done tells how an attempt ended.
 	Done(a Attempt)
+	// Domains tells whether the service has a sound replica in the daemon's own
+	// failure domain, and in which others it has one.
+	Domains(service string) (near bool, others []string)
 }
 
 // Footing says how a replica stood when it was picked.
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -137,3 +137,21 @@
 
 // Forget drops what is known of a replica that is gone.
 func (p *Picker) Forget(id string) { p.records.Delete(id) }
+
+// Domains implements [ramp.Picker].
+func (p *Picker) Domains(service string) (near bool, others []string) {
+	now := p.clock.Now()
+	for _, l := range p.instances.of(service) {
+		if footing, ok := l.footing(now); !ok || footing != ramp.Sound {
+			continue
+		}
+		if r, _ := p.records.Get(l.ID); r.born == l.Born && r.address == l.Address && (r.Avoided(now) || r.stalled(now)) {
+			continue
+		}
+		if l.Domain == p.domain {
+			return true, nil
+		}
+		others = append(others, l.Domain)
+	}
+	return false, others
+}
--- a/table.go
+++ b/table.go
@@ -15,6 +15,7 @@
 	RankLayouts                  // holdings and snapshots
 	RankPlans                    // shares and usage by plan
 	RankOrders                   // tickets and their outcomes
+	RankBatches                  // batches of parts, taken in one after the other
 	RankQueries                  // queries in progress
 	RankReplicas                 // load and outcomes by replica
 	RankBudgets                  // retry and hedge budgets
