--- a/relay.go
+++ b/relay.go
@@ -13,7 +13,7 @@
 	// Done tells how an attempt ended.
 	Done(a Attempt)
 	// Domains tells whether the service has a sound replica in the daemon's own
-	// failure domain, and in which others it has one.
+	// failure domain, and in which others it has one. Each domain is named once.
 	Domains(service string) (near bool, others []string)
 }
 
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -151,7 +152,9 @@
 		if l.Domain == p.domain {
 			return true, nil
 		}
-		others = append(others, l.Domain)
+		if !slices.Contains(others, l.Domain) {
+			others = append(others, l.Domain)
+		}
 	}
 	return false, others
 }
