--- a/query/hop_test.go
+++ b/query/hop_test.go
@@ -15,6 +15,7 @@
 	"sycamoreramp.example/sycamoreramp/internal/golden"
 	"sycamoreramp.example/sycamoreramp/query"
 	"sycamoreramp.example/sycamoreramp/replica"
+	"sycamoreramp.example/sycamoreramp/retry"
 )
 
 // counting counts the calls at each service. It implements [ramp.Exchanger].
@@ -113,6 +114,7 @@
 			near, far := newRelayIn("near", own, gathered()), newRelayIn("far", asked, gathered())
 			test.way.helper = far
 			near.Collector, near.Helpers = &test.way, &test.way
+			near.Repeater = retry.NewRepeats(retry.Bounds{Ratio: 2, Window: time.Second}, func() int { return 1 }, near.Clock)
 			time.Sleep(time.Second)
 			d, err := near.Ask(t.Context(), ramp.Message{ID: "m", Target: "/x"}, 0)
 			synctest.Wait()
--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -104,6 +104,10 @@
 // start makes the first attempts, or lets daemons of other failure domains make
 // them.
 func (p *pursuit) start() {
+	for i := range p.count {
+		state, _ := p.parts.Get(i)
+		p.relay.Repeater.Arrived(state.service) // here, since this daemon makes the repeats
+	}
 	hopped := make(map[int]bool)
 	if p.route.Gathered() && p.route.Attempts > 1 && p.relay.Helpers != nil && len(p.message.Body) == 0 {
 		for _, h := range p.hops(p.route.Gather) {
@@ -188,9 +192,6 @@
 		p.giveUp(index)
 		return
 	}
-	if kind == ramp.First {
-		p.relay.Repeater.Arrived(state.service)
-	}
 	instance, footing, ok := p.relay.Picker.Pick(state.service, state.attempts)
 	if !ok {
 		p.giveUp(index)
