--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -175,6 +175,7 @@
 			continue
 		}
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
+		_ = response.Body.Close() // the stream is kept or closed by itself
 		if err != nil {
 			return reply{err: err}
 		}
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -60,7 +60,7 @@
 			}
 			s.opened.Add(1)
 			go func() {
-				defer c.Close()
+				defer func() { _ = c.Close() }()
 				reader := bufio.NewReader(c)
 				for {
 					r, err := http.ReadRequest(reader)
@@ -97,7 +97,11 @@
 	}{
 		{"sound", false, func(c net.Conn, id string) bool { return write(c, ok(id, "body")) }},
 		{"runs once", true, func(c net.Conn, id string) bool { return write(c, ok(id, "body")) }},
-		{"an answer more with it", false, func(c net.Conn, id string) bool { return write(c, ok(id, "body")+ok(id, "more")) }},
+		{
+			"an answer more with it",
+			false,
+			func(c net.Conn, id string) bool { return write(c, ok(id, "body")+ok(id, "more")) },
+		},
 		{"an answer more a little later", false, func(c net.Conn, id string) bool {
 			done := write(c, ok(id, "body"))
 			time.Sleep(10 * time.Millisecond)
@@ -106,7 +110,11 @@
 		{"closes after it", false, func(c net.Conn, id string) bool {
 			return write(c, strings.Replace(ok(id, "body"), "\r\n", "\r\nConnection: close\r\n", 1))
 		}},
-		{"no length", false, func(c net.Conn, id string) bool { write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nbody"); return false }},
+		{
+			"no length",
+			false,
+			func(c net.Conn, id string) bool { write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nbody"); return false },
+		},
 		{"no length, reset", false, func(c net.Conn, id string) bool {
 			write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nbod")
 			time.Sleep(10 * time.Millisecond)
@@ -118,7 +126,11 @@
 		{"another's answer", false, func(c net.Conn, _ string) bool { return write(c, ok("other", "body")) }},
 		{"closed", false, func(net.Conn, string) bool { return false }},
 		{"silent", false, func(net.Conn, string) bool { return true }},
-		{"an early hint", false, func(c net.Conn, id string) bool { return write(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+ok(id, "body")) }},
+		{
+			"an early hint",
+			false,
+			func(c net.Conn, id string) bool { return write(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+ok(id, "body")) },
+		},
 	}
 	var b strings.Builder
 	for _, test := range tests {
--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -27,8 +27,10 @@
 const edgeConfig = `{"version":%d,"limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},
 	"backends":[{"name":"a","maxConnections":8},{"name":"b","maxConnections":8},{"name":"c","maxConnections":8}],
 	"routes":[
-	{"name":"all","host":"h.example","pathPrefix":"/all/","type":"idempotent","timeoutMs":900,"targetLatencyMs":400,"gather":["a","b"],"attempts":2,"topK":2,"minCoverage":0.5},
-	{"name":"once","host":"h.example","pathPrefix":"/all/once/","type":"non_idempotent","timeoutMs":900,"targetLatencyMs":400,"backend":"c","attempts":2}%s]}`
+	{"name":"all","host":"h.example","pathPrefix":"/all/","type":"idempotent","timeoutMs":900,
+	"targetLatencyMs":400,"gather":["a","b"],"attempts":2,"topK":2,"minCoverage":0.5},
+	{"name":"once","host":"h.example","pathPrefix":"/all/once/","type":"non_idempotent","timeoutMs":900,
+	"targetLatencyMs":400,"backend":"c","attempts":2}%s]}`
 
 // place is a loopback address with a store and replicas of three services.
 type place struct {
@@ -134,13 +136,14 @@
 	}
 	defer response.Body.Close()
 	got, _ := io.ReadAll(response.Body)
-	text := fmt.Sprintf("%d %q", response.StatusCode, got)
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d %q", response.StatusCode, got)
 	for _, name := range []string{"X-Part-Stamps", "X-Missing-Parts", "X-Server-Stamp", "Retry-After"} {
 		if v := response.Header.Get(name); v != "" {
-			text += " " + name + "=" + v
+			fmt.Fprintf(&text, " %s=%s", name, v)
 		}
 	}
-	return text
+	return text.String()
 }
 
 func (p *place) status(port int, path string) int {
@@ -178,7 +181,8 @@
 	note("the longest prefix", p.ask(http.MethodPost, "/all/once/x", "+body"))
 	note("too large", p.ask(http.MethodPost, "/all/once/x", strings.Repeat("x", 1001)))
 	note("no route", p.ask(http.MethodGet, "/other/x", ""))
-	p.configure(5, `,{"name":"new","host":"h.example","pathPrefix":"/other/","type":"idempotent","timeoutMs":900,"backend":"a"}`)
+	p.configure(5, `,{"name":"new","host":"h.example","pathPrefix":"/other/","type":"idempotent",
+		"timeoutMs":900,"backend":"a"}`)
 	p.eventually(func() bool { return strings.HasPrefix(p.ask(http.MethodGet, "/other/x", ""), "200") })
 	p.configure(4, "")
 	time.Sleep(time.Second)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,6 +21,12 @@
 	otherPlans   = "other"     // tag of the plans beyond those
 )
 
+// Names of tags.
+const (
+	tagOutcome = "outcome"
+	tagRoute   = "route"
+)
+
 // latencyBuckets are the upper bounds of the latency histogram.
 var latencyBuckets = tally.DurationBuckets{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
@@ -53,7 +59,7 @@
 func (m *metrics) Observe(q ramp.Query, answer ramp.Answer, err error) {
 	operation := map[string]string{"operation": string(q.Operation)}
 	m.scope.Tagged(map[string]string{
-		"operation": string(q.Operation), "outcome": outcomeOf(answer, err), "plan": m.planTag(q.Plan),
+		"operation": string(q.Operation), tagOutcome: outcomeOf(answer, err), "plan": m.planTag(q.Plan),
 	}).Counter("requests").Inc(1)
 	m.scope.Tagged(operation).Histogram("latency", latencyBuckets).RecordDuration(answer.Elapsed)
 	if whole := answer.Whole.Size(); whole > 0 {
@@ -67,7 +73,7 @@
 
 func (m *metrics) countAttempt(a *ramp.Attempt) {
 	m.scope.Tagged(map[string]string{
-		"kind": string(a.Kind), "outcome": string(a.Outcome),
+		"kind": string(a.Kind), tagOutcome: string(a.Outcome),
 	}).Counter("attempts").Inc(1)
 	if a.Connected {
 		m.scope.Counter("connections").Inc(1)
@@ -145,9 +151,9 @@
 // ObserveDelivery counts a message and its attempts.
 func (m *metrics) ObserveDelivery(_ ramp.Message, d ramp.Delivery, err error) {
 	route := m.planTag(d.Route)
-	m.scope.Tagged(map[string]string{"route": route, "outcome": deliveryOutcome(d, err)}).Counter("messages").Inc(1)
-	m.scope.Tagged(map[string]string{"route": route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
-	m.scope.Tagged(map[string]string{"route": route}).Counter("missing_parts").Inc(int64(d.Missing))
+	m.scope.Tagged(map[string]string{tagRoute: route, tagOutcome: deliveryOutcome(d, err)}).Counter("messages").Inc(1)
+	m.scope.Tagged(map[string]string{tagRoute: route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
+	m.scope.Tagged(map[string]string{tagRoute: route}).Counter("missing_parts").Inc(int64(d.Missing))
 	for i := range d.Attempts {
 		m.countAttempt(&d.Attempts[i])
 	}
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -24,11 +24,41 @@
 		name    string
 		changes []ramp.EntryChange
 	}{
-		{"follows", []ramp.EntryChange{{Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}}, {After: 5, Until: 7, Entries: []ramp.Entry{changed("a", 6, true), changed("b", 7, false)}}}},
-		{"a gap", []ramp.EntryChange{{Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}}, {After: 6, Until: 9, Entries: []ramp.Entry{changed("b", 9, false)}}}},
-		{"an older one late", []ramp.EntryChange{{Until: 9, Entries: []ramp.Entry{changed("a", 8, false)}}, {Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}}}},
-		{"overlapping", []ramp.EntryChange{{Until: 5, Entries: []ramp.Entry{changed("a", 5, false)}}, {After: 2, Until: 6, Entries: []ramp.Entry{changed("a", 4, true), changed("b", 6, false)}}}},
-		{"whole, with one missing", []ramp.EntryChange{{Until: 5, Entries: []ramp.Entry{changed("a", 3, false), changed("b", 4, false)}}, {Until: 9, Entries: []ramp.Entry{changed("b", 4, false)}}}},
+		{
+			"follows",
+			[]ramp.EntryChange{
+				{Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}},
+				{After: 5, Until: 7, Entries: []ramp.Entry{changed("a", 6, true), changed("b", 7, false)}},
+			},
+		},
+		{
+			"a gap",
+			[]ramp.EntryChange{
+				{Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}},
+				{After: 6, Until: 9, Entries: []ramp.Entry{changed("b", 9, false)}},
+			},
+		},
+		{
+			"an older one late",
+			[]ramp.EntryChange{
+				{Until: 9, Entries: []ramp.Entry{changed("a", 8, false)}},
+				{Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}},
+			},
+		},
+		{
+			"overlapping",
+			[]ramp.EntryChange{
+				{Until: 5, Entries: []ramp.Entry{changed("a", 5, false)}},
+				{After: 2, Until: 6, Entries: []ramp.Entry{changed("a", 4, true), changed("b", 6, false)}},
+			},
+		},
+		{
+			"whole, with one missing",
+			[]ramp.EntryChange{
+				{Until: 5, Entries: []ramp.Entry{changed("a", 3, false), changed("b", 4, false)}},
+				{Until: 9, Entries: []ramp.Entry{changed("b", 4, false)}},
+			},
+		},
 		{"nothing new", []ramp.EntryChange{{Until: 5, Entries: []ramp.Entry{changed("a", 3, false)}}, {After: 5, Until: 8}}},
 	}
 	var b strings.Builder
--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,27 +35,37 @@
 	return n.Translator.Translate(e)
 }
 
+// cuts names the daemons that are cut off from the others.
+type cuts struct{ ids sync.Map }
+
+func (c *cuts) add(id string) { c.ids.Store(id, true) }
+
+func (c *cuts) has(id string) bool {
+	_, cut := c.ids.Load(id)
+	return cut
+}
+
 // wires connects observers with each other. It implements [ramp.Peers].
 type wires struct {
 	ramp.Peers
 	daemons map[string]*observed
-	cut     map[string]bool
+	cut     *cuts
 	from    string
 }
 
 // Exchange implements [ramp.Peers].
 func (w wires) Exchange(_ context.Context, to ramp.Daemon, news ramp.News) (ramp.News, error) {
 	d, there := w.daemons[to.Peer]
-	if !there || w.cut[to.Peer] || w.cut[w.from] {
+	if !there || w.cut.has(to.Peer) || w.cut.has(w.from) {
 		return ramp.News{}, &ramp.PeerError{Daemon: to.ID, Cause: errors.New("cut")}
 	}
 	return d.Answer(news), nil
 }
 
 // observers starts daemons over one store.
-func observers(ctx context.Context, store *standin.Store, count int) (map[string]*observed, map[string]bool) {
+func observers(ctx context.Context, store *standin.Store, count int) (map[string]*observed, *cuts) {
 	clock := ramp.SystemClock{}
-	all, cut := make(map[string]*observed), make(map[string]bool)
+	all, cut := make(map[string]*observed), &cuts{}
 	for i := range count {
 		id := fmt.Sprintf("d%02d", i)
 		self := ramp.Daemon{ID: id, Incarnation: id + "i", Domain: "z" + strconv.Itoa(i%2), Caller: id, Peer: id}
@@ -87,29 +98,29 @@
 	tests := []struct {
 		name  string
 		count int
-		fault func(store *standin.Store, cut map[string]bool)
+		fault func(store *standin.Store, cut *cuts)
 	}{
-		{"calm, a small fleet", 5, func(*standin.Store, map[string]bool) {}},
-		{"the store turns one away", 5, func(s *standin.Store, _ map[string]bool) { s.SetFault("d03", down) }},
-		{"the store turns all but one away", 5, func(s *standin.Store, _ map[string]bool) {
+		{"calm, a small fleet", 5, func(*standin.Store, *cuts) {}},
+		{"the store turns one away", 5, func(s *standin.Store, _ *cuts) { s.SetFault("d03", down) }},
+		{"the store turns all but one away", 5, func(s *standin.Store, _ *cuts) {
 			for i := range 4 {
 				s.SetFault(fmt.Sprintf("d%02d", i), down)
 			}
 		}},
-		{"one is cut off from all others", 5, func(_ *standin.Store, cut map[string]bool) { cut["d03"] = true }},
-		{"calm, a larger fleet", 24, func(*standin.Store, map[string]bool) {}},
-		{"a larger fleet, the watchers of a domain are cut off", 24, func(s *standin.Store, cut map[string]bool) {
+		{"one is cut off from all others", 5, func(_ *standin.Store, cut *cuts) { cut.add("d03") }},
+		{"calm, a larger fleet", 24, func(*standin.Store, *cuts) {}},
+		{"a larger fleet, the watchers of a domain are cut off", 24, func(s *standin.Store, cut *cuts) {
 			for i := 0; i < 24; i += 2 {
 				id := fmt.Sprintf("d%02d", i)
 				if i < 8 {
-					cut[id] = true
+					cut.add(id)
 					s.SetFault(id, down)
 				}
 			}
 		}},
-		{"naive: the store turns one away that asks nobody", 5, func(s *standin.Store, cut map[string]bool) {
+		{"naive: the store turns one away that asks nobody", 5, func(s *standin.Store, cut *cuts) {
 			s.SetFault("d03", down)
-			cut["d03"] = true
+			cut.add("d03")
 		}},
 	}
 	var b strings.Builder
--- a/peer/gather.go
+++ b/peer/gather.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return &ramp.PeerError{Daemon: to.ID, Sent: !opened.failed, Cause: err}
 	}
-	defer stream.Close()
+	defer func() { _ = stream.Close() }() // the call has ended
 	for {
 		message, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
--- a/query/hop_test.go
+++ b/query/hop_test.go
@@ -94,13 +94,20 @@
 		{"two replicas in one failure domain", script{"a-1f": one, "a-2f": one, "b-f": two}, direct{}, nil},
 		{"one part is slow there", script{"a-f": one, "b-f": slow, "b-x": two}, direct{}, nil},
 		{"one part is slow everywhere", script{"a-f": one, "b-f": slow, "b-x": slow}, direct{}, nil},
-		{"one part comes a little later", script{"a-f": one, "b-f": {after: 35 * ms, status: 200, body: record2}}, direct{}, nil},
+		{
+			"one part comes a little later",
+			script{"a-f": one, "b-f": {after: 35 * ms, status: 200, body: record2}},
+			direct{},
+			nil,
+		},
 		{"one part fails there", script{"a-f": one, "b-f": {after: ms, status: 500}, "b-x": two}, direct{}, nil},
 		{"the daemon is gone", script{"a-f": one, "a-x": one, "b-f": two, "b-x": two}, direct{gone: true}, nil},
 		{"the daemon is silent", script{"a-f": one, "a-x": one, "b-f": two, "b-x": two}, direct{mute: true}, nil},
 		{
-			"the daemon answers after a part was asked for directly", script{"a-f": one, "b-f": two},
-			direct{lag: 50 * ms}, script{"a-f": one, "b-f": slow},
+			"the daemon answers after a part was asked for directly",
+			script{"a-f": one, "b-f": two},
+			direct{lag: 50 * ms},
+			script{"a-f": one, "b-f": slow},
 		},
 	}
 	var b strings.Builder
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,22 +125,53 @@
 		route  ramp.Route
 		script script
 	}{
-		{"all parts", gathered(), script{"a-1": {after: 5 * ms, status: 200, body: record1 + record3 + "rest"}, "b-1": {after: 9 * ms, status: 200, body: record2}}},
-		{"a slow part is hedged once", gathered(), script{"a-1": ok, "b-1": {after: 60 * ms, status: 200}, "b-2": {after: 60 * ms, status: 200}}},
-		{"a part is late, the quorum suffices at the objective", gathered(), script{"a-1": ok, "b-1": {after: 400 * ms, status: 200, stuck: true}}},
-		{"no part in time, the first that makes a quorum", gathered(), script{"a-1": {after: 300 * ms, status: 200, body: record1}, "b-1": {after: 400 * ms, status: 200}}},
+		{
+			"all parts",
+			gathered(),
+			script{
+				"a-1": {after: 5 * ms, status: 200, body: record1 + record3 + "rest"},
+				"b-1": {after: 9 * ms, status: 200, body: record2},
+			},
+		},
+		{
+			"a slow part is hedged once",
+			gathered(),
+			script{"a-1": ok, "b-1": {after: 60 * ms, status: 200}, "b-2": {after: 60 * ms, status: 200}},
+		},
+		{
+			"a part is late, the quorum suffices at the objective",
+			gathered(),
+			script{"a-1": ok, "b-1": {after: 400 * ms, status: 200, stuck: true}},
+		},
+		{
+			"no part in time, the first that makes a quorum",
+			gathered(),
+			script{"a-1": {after: 300 * ms, status: 200, body: record1}, "b-1": {after: 400 * ms, status: 200}},
+		},
 		{"a part fails", gathered(), script{"a-1": ok, "b-1": {after: ms, status: 500}}},
 		{"all parts fail", gathered(), script{"a-1": {after: ms, status: 500}, "b-1": {after: ms, status: 500}}},
 		{"all parts are shed", gathered(), script{"a-1": shed, "b-1": shed}},
 		{"no replica", gathered(), script{}},
 		{"one response", single(true), script{"a-1": ok}},
 		{"a failure of the only replica is passed on", single(true), script{"a-1": {after: ms, status: 500}}},
-		{"not found is passed on at once", single(true), script{"a-1": {after: ms, status: 404}, "a-2": {after: ms, status: 404}}},
-		{"a message that runs once, lost", single(false), script{"a-1": {after: ms, fails: ramp.Unreachable}, "a-2": {after: ms, fails: ramp.Unreachable}}},
+		{
+			"not found is passed on at once",
+			single(true),
+			script{"a-1": {after: ms, status: 404}, "a-2": {after: ms, status: 404}},
+		},
+		{
+			"a message that runs once, lost",
+			single(false),
+			script{"a-1": {after: ms, fails: ramp.Unreachable}, "a-2": {after: ms, fails: ramp.Unreachable}},
+		},
 		{"a message that runs once, silent", single(false), script{"a-1": {after: time.Hour}, "a-2": {after: time.Hour}}},
 		{"a message that runs once, shed twice", single(false), script{"a-1": shed, "a-2": shed}},
 		{"a message that runs once, shed by one of two", single(false), script{"a-1": shed, "a-2": shed, "a-3": shed}},
-		{"a message that runs once, no connection", single(false), script{"a-1": {fails: ramp.Unreachable, unsent: true}, "a-2": {fails: ramp.Unreachable, unsent: true}}},
+		{
+			"a message that runs once, no connection",
+			single(false),
+			script{"a-1": {fails: ramp.Unreachable, unsent: true}, "a-2": {fails: ramp.Unreachable, unsent: true}},
+		},
 	}
 	var b strings.Builder
 	for _, test := range tests {
@@ -178,13 +210,13 @@
 // flaky lets the second call at the service a succeed at once.
 type flaky struct {
 	script
-	calls int
+	calls atomic.Int64
 }
 
 // Exchange implements [ramp.Exchanger].
 func (f *flaky) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
 	if strings.HasPrefix(c.Instance.ID, "a-") {
-		if f.calls++; f.calls == 2 {
+		if f.calls.Add(1) == 2 {
 			return ramp.Response{Status: 200, Stamp: "stamp-good", Body: []byte(record1)}, nil
 		}
 	}
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -27,7 +27,8 @@
 		what   string
 	}
 	learn := func(after time.Duration, i ramp.Instance) step {
-		return step{after, func(s *Instances) { s.Learn(i) }, fmt.Sprintf("entry born=%d beat=%d %s", i.Born, i.Beat, i.State)}
+		what := fmt.Sprintf("entry born=%d beat=%d %s", i.Born, i.Beat, i.State)
+		return step{after, func(s *Instances) { s.Learn(i) }, what}
 	}
 	vanish := func(after time.Duration) step { return step{after, func(s *Instances) { s.Vanish("r") }, "removed"} }
 	look := func(after time.Duration) step { return step{after, func(s *Instances) { s.Expire() }, "later"} }
@@ -35,12 +36,40 @@
 		name  string
 		steps []step
 	}{
-		{"lapses and comes back", []step{learn(0, instance("r", 1, 1, live)), vanish(0), look(time.Second), learn(0, instance("r", 1, 2, live))}},
-		{"is gone", []step{learn(0, instance("r", 1, 1, live)), vanish(0), look(1900 * time.Millisecond), look(100 * time.Millisecond)}},
-		{"removed twice counts from the first", []step{learn(0, instance("r", 1, 1, live)), vanish(0), vanish(1500 * time.Millisecond), look(500 * time.Millisecond)}},
-		{"drains", []step{learn(0, instance("r", 1, 1, live)), learn(0, instance("r", 1, 2, leaving)), look(900 * time.Millisecond), look(100 * time.Millisecond)}},
-		{"an old entry comes late", []step{learn(0, instance("r", 1, 5, leaving)), learn(time.Second, instance("r", 1, 4, live))}},
-		{"starts again under its id", []step{learn(0, instance("r", 1, 9, leaving)), learn(time.Second, instance("r", 2, 1, live))}},
+		{
+			"lapses and comes back",
+			[]step{learn(0, instance("r", 1, 1, live)), vanish(0), look(time.Second), learn(0, instance("r", 1, 2, live))},
+		},
+		{
+			"is gone",
+			[]step{learn(0, instance("r", 1, 1, live)), vanish(0), look(1900 * time.Millisecond), look(100 * time.Millisecond)},
+		},
+		{
+			"removed twice counts from the first",
+			[]step{
+				learn(0, instance("r", 1, 1, live)),
+				vanish(0),
+				vanish(1500 * time.Millisecond),
+				look(500 * time.Millisecond),
+			},
+		},
+		{
+			"drains",
+			[]step{
+				learn(0, instance("r", 1, 1, live)),
+				learn(0, instance("r", 1, 2, leaving)),
+				look(900 * time.Millisecond),
+				look(100 * time.Millisecond),
+			},
+		},
+		{
+			"an old entry comes late",
+			[]step{learn(0, instance("r", 1, 5, leaving)), learn(time.Second, instance("r", 1, 4, live))},
+		},
+		{
+			"starts again under its id",
+			[]step{learn(0, instance("r", 1, 9, leaving)), learn(time.Second, instance("r", 2, 1, live))},
+		},
 		{"an entry of the start before", []step{learn(0, instance("r", 2, 1, live)), learn(0, instance("r", 1, 9, leaving))}},
 	}
 	var b strings.Builder
