replica: weigh a replica's share of failures and refusals

The share now fades by outcomes and time, and from a quarter on another failure domain is asked.

Ruled out: the budget of repeats (unused slack), connections.

--- a/replica/pick.go
+++ b/replica/pick.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,6 +21,14 @@
 // it counts as stalled.
 const stallFactor = 2
 
+// Weights of what fails at a replica while other attempts succeed.
+const (
+	troubleSample = 0.3             // weight of one outcome in the share of failures
+	troubleFade   = 3 * time.Second // in which the share halves without an attempt
+	troubleWeight = 8               // of the share in the expected time
+	troubleMuch   = 0.25            // share from which another failure domain is asked instead
+)
+
 // spread is the share by which scores are varied, so that daemons which know the
 // same do not all choose the same replica.
 const spread = 0.1
@@ -31,6 +40,8 @@
 	born     int64     // start that the record is of
 	address  string    // where that start listens
 	progress time.Time // last reply, or when the oldest attempt was placed
+	trouble  float64   // share of failures and refusals among the last outcomes
+	judged   time.Time // when trouble was last changed
 }
 
 // placed returns the record with one more attempt at the given start.
@@ -51,14 +62,35 @@
 	if a.Outcome == ramp.Merged || a.Outcome == ramp.Late || a.Outcome == ramp.Shed {
 		r.progress = now
 	}
+	switch a.Outcome {
+	case ramp.Merged, ramp.Late:
+		r.trouble = r.troubled(now) * (1 - troubleSample)
+		r.judged = now
+	case ramp.Shed, ramp.Failed, ramp.Truncated, ramp.Mismatched, ramp.Unreachable, ramp.Expired:
+		r.trouble = r.troubled(now)*(1-troubleSample) + troubleSample
+		r.judged = now
+	}
 	return r
 }
 
+// troubled returns the share of failures and refusals as it counts now.
+func (r record) troubled(now time.Time) float64 {
+	if r.trouble == 0 {
+		return 0
+	}
+	return r.trouble * math.Exp2(-float64(now.Sub(r.judged))/float64(troubleFade))
+}
+
 // stalled reports whether a reply is long overdue.
 func (r record) stalled(now time.Time) bool {
 	return r.Busy > 0 && now.Sub(r.progress) > stallFactor*max(r.Latency, neutral)
 }
 
+// steady reports whether there is no reason to ask another replica.
+func (r record) steady(now time.Time) bool {
+	return !r.Avoided(now) && !r.stalled(now) && r.troubled(now) < troubleMuch
+}
+
 // Picker picks replicas of services by their entries in the store and by the
 // daemon's own attempts. It implements [ramp.Picker].
 type Picker struct {
@@ -122,7 +154,7 @@
 	if l.Cold > 0 && now.Sub(l.learnt) < l.Cold {
 		queue += coldWeight
 	}
-	return r.scoreBehind(queue, now) * (1 + spread*rand.Float64())
+	return r.scoreBehind(queue, now) * (1 + troubleWeight*r.troubled(now)) * (1 + spread*rand.Float64())
 }
 
 // Done implements [ramp.Picker].
@@ -146,7 +178,7 @@
 		if footing, ok := l.footing(now); !ok || footing != ramp.Sound {
 			continue
 		}
-		if r, _ := p.records.Get(l.ID); r.born == l.Born && r.address == l.Address && (r.Avoided(now) || r.stalled(now)) {
+		if r, _ := p.records.Get(l.ID); r.born == l.Born && r.address == l.Address && !r.steady(now) {
 			continue
 		}
 		if l.Domain == p.domain {
