--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -104,7 +104,7 @@
 	e.observer = &fleet.Observer{
 		Clock: clock, Log: e.log, Self: e.self, Store: store, Registry: platform.Registry{Store: store},
 		Translator: platform.Translator{}, Peers: e.peers, Pool: e.news, Mirror: fleet.NewMirror(clock),
-		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving,
+		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, Bound: d.Bound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
 	}
 	e.observer.Init()
--- a/deployment.go
+++ b/deployment.go
@@ -14,6 +14,7 @@
 	Readiness string   // listens here for checks of whether the daemon is ready
 	Daemons   string   // listens here for other daemons
 
+	Bound        time.Duration // within which what the store says must take effect
 	Grace        time.Duration // from being told to stop until being killed
 	AddressLife  time.Duration // most that a caller keeps an answer about addresses
 	RepeatRatio  float64       // repeats for each request to a service, of all daemons together
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -11,17 +11,17 @@
 
 // Times and sizes of the observer.
 const (
-	observeWait   = 2 * time.Second        // of a watch; with its reply's delay below the bound on being in touch
-	observePause  = 250 * time.Millisecond // after a failed call, doubling, and between looks at whether to watch
-	observeRest   = time.Second            // longest pause after failed calls; they are priced like others
-	observeSettle = 200 * time.Millisecond // after a change, so that those that come close together are read together
-	tellPeriod    = 400 * time.Millisecond // between exchanges with other daemons
-	tellTimeout   = 500 * time.Millisecond
-	silentAfter   = 2500 * time.Millisecond // age of the last word from the store at which a daemon watches by itself
-	smallFleet    = 8                       // daemons up to which every one watches
-	heardLife     = 3 * time.Second         // for which a daemon that the store does not list counts after its last word
-	sizeLife      = 10 * time.Second        // for which a larger fleet counts, as long as what its daemons used may
-	expirePeriod  = 500 * time.Millisecond
+	observeWait  = 2 * time.Second        // of a watch; with its reply's delay below the bound on being in touch
+	observePause = 250 * time.Millisecond // after a failed call, doubling, and between looks at whether to watch
+	observeRest  = time.Second            // longest pause after failed calls; they are priced like others
+	tellPeriod   = 400 * time.Millisecond // between exchanges with other daemons
+	tellTimeout  = 500 * time.Millisecond
+	silentAfter  = 2500 * time.Millisecond // age of the last word from the store at which a daemon watches by itself
+	smallFleet   = 8                       // daemons up to which every one watches
+	heardLife    = 3 * time.Second         // for which a daemon that the store does not list counts after its last word
+	sizeLife     = 10 * time.Second        // for which a larger fleet counts, as long as what its daemons used may
+	settleShare  = 10                      // part of the bound that changes may gather before they are read together
+	expirePeriod = 500 * time.Millisecond
 )
 
 // maxShift bounds how often a pause doubles.
@@ -43,6 +43,7 @@
 	Routes     *Routes
 	Members    *Members
 	Replicas   ramp.Registrar
+	Bound      time.Duration        // within which what the store says must take effect
 	Seeds      func() []ramp.Daemon // daemons to ask while no member is known; only Peer is set
 	Leaving    <-chan struct{}      // closed when the daemon starts to leave
 
@@ -170,7 +171,7 @@
 			o.apply(ramp.EntryChange{After: after, Until: until, Entries: entries}, "store")
 			after, pause = max(after, until), 0
 			if len(entries) > 0 {
-				pause = observeSettle
+				pause = o.Bound / settleShare
 			}
 		}
 		if pause > 0 {
--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -75,7 +75,7 @@
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Self: self, Store: client,
 			Registry: platform.Registry{Store: client}, Translator: numbered{},
 			Peers: wires{daemons: all, cut: cut, from: id}, Pool: ramp.NewPool(4, 64), Mirror: NewMirror(clock),
-			Routes: NewRoutes(), Members: NewMembers(self, clock), Replicas: replicas,
+			Routes: NewRoutes(), Members: NewMembers(self, clock), Replicas: replicas, Bound: 3 * time.Second,
 			Seeds:   func() []ramp.Daemon { return []ramp.Daemon{{ID: "d00", Peer: "d00"}} },
 			Leaving: make(chan struct{}),
 		}
