sycamoreramp: trace a request in logs, check the platform's settings, fuzz what comes from outside

backend: a response with a status below 100 is no answer. FuzzReply found it: net/http parses status 000, and writing it to a caller panics.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test bench golden generate slopes
+.PHONY: demo test bench fuzz golden generate slopes
 
 demo:
 	@bash internal/demo/demo.sh
@@ -12,6 +12,14 @@
 bench:
 	go test -run '^TestBounds' $(if $(SKIP),-skip '^($(SKIP))$$') -count=1 -v ./bench ./peer
 
+# FUZZTIME is for each target.
+FUZZTIME ?= 5s
+fuzz:
+	go test ./platform -run '^$$' -fuzz '^FuzzTranslate$$' -fuzztime $(FUZZTIME)
+	go test ./platform -run '^$$' -fuzz '^FuzzSettings$$' -fuzztime $(FUZZTIME)
+	go test ./platform -run '^$$' -fuzz '^FuzzFront$$' -fuzztime $(FUZZTIME)
+	go test ./backend -run '^$$' -fuzz '^FuzzReply$$' -fuzztime $(FUZZTIME)
+
 slopes:
 	go build -o .bin/ ./internal/cmd/slopes
 	.bin/slopes
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -171,7 +171,11 @@
 		if err != nil {
 			return reply{err: err}
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < http.StatusContinue {
+			_ = response.Body.Close() // the stream is closed
+			return reply{err: fmt.Errorf("status %d", response.StatusCode)}
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
--- /dev/null
+++ b/backend/fuzz_test.go
@@ -0,0 +1,28 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"testing"
+)
+
+// FuzzReply feeds what replicas may send. A stream that has more to read, or whose
+// response has no length, is not kept.
+func FuzzReply(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\nKeep-Alive: timeout=-1\r\n\r\nbody"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := bufio.NewReader(bytes.NewReader(data))
+		r := readReply(reader, http.MethodGet)
+		if r.err == nil && r.keep && reader.Buffered() > 0 {
+			t.Error("a stream is kept that has more to read")
+		}
+		if r.err == nil && (r.response.Status < 200 || len(r.response.Body) > len(data)) {
+			t.Errorf("status %d with %d bytes of %d", r.response.Status, len(r.response.Body), len(data))
+		}
+	})
+}
--- a/cmd/sycamoreramp/main.go
+++ b/cmd/sycamoreramp/main.go
@@ -45,6 +45,7 @@
 	Order     *orderCommand     `arg:"subcommand:order" help:"send a request that runs at most once"`
 	Ticket    *ticketCommand    `arg:"subcommand:ticket" help:"print a new ticket for an order"`
 	Explain   *explainCommand   `arg:"subcommand:explain" help:"print the account of an earlier request"`
+	Trace     *traceCommand     `arg:"subcommand:trace" help:"print what logs of daemons tell of a request"`
 	Addresses *addressesCommand `arg:"subcommand:addresses" help:"print the addresses that a caller should use"`
 	Burn      *burnCommand      `arg:"subcommand:burn" help:"print who burns which service-level budget, and why"`
 	Check     *checkCommand     `arg:"subcommand:check" help:"check settings files and lists without using them"`
--- a/cmd/sycamoreramp/settings.go
+++ b/cmd/sycamoreramp/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"sycamoreramp.example/sycamoreramp/operator"
+	"sycamoreramp.example/sycamoreramp/platform"
 	"sycamoreramp.example/sycamoreramp/settings"
 )
 
@@ -63,6 +64,7 @@
 
 type checkCommand struct {
 	Daemon    []string `arg:"--daemon,separate" help:"settings files of daemons"`
+	Platform  []string `arg:"--platform,separate" help:"settings files that the users' platform writes"`
 	Tool      []string `arg:"--tool,separate" help:"settings files of this tool"`
 	Customers string   `arg:"--customers" help:"TOML file with the customers; needs --plans"`
 	Plans     string   `arg:"--plans" help:"TOML file with the plans; needs --customers"`
@@ -91,6 +93,10 @@
 		_, err := settings.Load(file)
 		note(file, err)
 	}
+	for _, file := range c.Platform {
+		_, err := platform.LoadSettings(file)
+		note(file, err)
+	}
 	for _, file := range c.Tool {
 		_, err := settings.LoadTool(file)
 		note(file, err)
