soak: play real daemons under faults from outside them

Daemons as processes on loopback addresses of the seed, stand-in store, replicas behind proxies, callers that keep connections; kills, stops, freezes, hangups, store and replicas refused, silent, deaf, slow or misbehaving, in series and overlapping, with a configuration, a repartition and a leaving replica in each calm.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test bench fuzz golden generate slopes
+.PHONY: demo test bench fuzz golden generate slopes soak
 
 demo:
 	@bash internal/demo/demo.sh
@@ -20,6 +20,14 @@
 	go test ./platform -run '^$$' -fuzz '^FuzzFront$$' -fuzztime $(FUZZTIME)
 	go test ./backend -run '^$$' -fuzz '^FuzzReply$$' -fuzztime $(FUZZTIME)
 
+# SEEDS is the number of seeds, from FIRST on. Logs of seeds that fail stay in
+# .bin/soaked.
+SEEDS ?= 4
+FIRST ?= 1
+soak:
+	go build -o .bin/ ./cmd/sycamorerampd ./internal/cmd/soak
+	.bin/soak --first $(FIRST) --seeds $(SEEDS) $(SOAK)
+
 slopes:
 	go build -o .bin/ ./internal/cmd/slopes
 	.bin/slopes
--- a/cmd/sycamoreramp/trace.go
+++ b/cmd/sycamoreramp/trace.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }() // it was only read
 	return c.read(name, file)
 }
 
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Ways of the requests that callers send.
+const (
+	pathAll  = "/all/x"
+	pathRead = "/read/x"
+	pathOnce = "/once/x"
+)
+
+// caller sends requests to daemons, often over a connection that it keeps.
+type caller struct {
+	world  *world
+	name   string
+	random *rand.Rand
+
+	daemon *process
+	conn   net.Conn
+	reader *bufio.Reader
+	served int // requests answered with success
+	asked  int // requests sent
+}
+
+// run sends requests until the world's context ends.
+func (c *caller) run() {
+	for c.world.ctx.Err() == nil {
+		c.once()
+		time.Sleep(time.Duration(10+c.random.IntN(40)) * time.Millisecond)
+	}
+	c.hangUp()
+}
+
+func (c *caller) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// once sends one request and checks its answer. It stays with a daemon while its
+// connection lasts.
+func (c *caller) once() {
+	if c.conn == nil {
+		c.daemon = c.world.daemons[c.random.IntN(len(c.world.daemons))]
+		conn, err := net.DialTimeout("tcp", c.daemon.ip+":8104", time.Second)
+		if err != nil {
+			return
+		}
+		c.conn, c.reader = conn, bufio.NewReader(conn)
+	}
+	c.asked++
+	id := fmt.Sprintf("%s-%d-%d", c.name, c.world.seed, c.asked)
+	method, path, body := http.MethodGet, pathAll, ""
+	switch c.random.IntN(4) {
+	case 0:
+		path = pathRead
+	case 1:
+		method, path, body = http.MethodPost, pathOnce, "body of "+id
+	case 2:
+		if v := c.added(); v != "" {
+			path = v + "x"
+		}
+	}
+	began := time.Now()
+	before := c.world.known()
+	response, got, err := c.exchange(method, path, id, body)
+	if err != nil {
+		c.broken(id, began, err)
+		return
+	}
+	_ = response.Body.Close() // it was read
+	c.judge(id, method, path, response, got, began, before)
+	if response.Close {
+		c.hangUp()
+	}
+}
+
+// added returns the path of a route that should be in force, or "".
+func (c *caller) added() string {
+	versions := c.world.known()
+	return versions[len(versions)-1].extra
+}
+
+func (c *caller) exchange(method, path, id, body string) (*http.Response, []byte, error) {
+	const format = "%s %s HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 800\r\n"
+	head := fmt.Sprintf(format, method, path, id)
+	if body != "" {
+		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(4 * time.Second))
+	if _, err := c.conn.Write([]byte(head + "\r\n" + body)); err != nil {
+		return nil, nil, err
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, nil, err
+	}
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		_ = response.Body.Close() // the answer broke off
+		return nil, nil, err
+	}
+	return response, got, nil
+}
+
+// broken judges a connection that ended without an answer: a daemon that nothing
+// happened to loses no request that it passed on.
+func (c *caller) broken(id string, began time.Time, err error) {
+	runs := len(c.world.ledger.of(id))
+	c.world.ledger.check("lost", runs == 0 || c.daemon.struckSince(began.Add(-graceTime)),
+		"%s ran %d times at %s and got no answer: %v", id, runs, c.daemon.name, err)
+	c.hangUp()
+}
+
+// judge checks what came back.
+func (c *caller) judge(
+	id, method, path string, r *http.Response, body []byte, began time.Time, before []version,
+) {
+	l, runs := c.world.ledger, c.world.ledger.of(id)
+	if method == http.MethodPost {
+		l.check("twice", len(runs) <= 1, "%s ran %d times", id, len(runs))
+	}
+	for service, n := range countBy(runs) {
+		l.check("attempts", n <= 2, "%s ran %d times at %s", id, n, service)
+	}
+	switch {
+	case r.StatusCode == http.StatusOK && path == pathAll:
+		c.served++
+		c.judgeParts(id, r, body, runs)
+	case r.StatusCode == http.StatusOK:
+		c.served++
+		c.judgeWhole(id, method, r, body, runs)
+	case r.StatusCode == http.StatusServiceUnavailable:
+		l.check("refused", len(runs) == 0, "%s was refused as not run and ran %d times", id, len(runs))
+		if len(runs) == 0 {
+			time.AfterFunc(time.Second, func() {
+				later := len(l.of(id))
+				l.check("refused", later == 0, "%s ran %d times after it was refused as not run", id, later)
+			})
+		}
+	case r.StatusCode == http.StatusNotFound:
+		c.judgeMissing(id, path, began, before)
+	}
+	if stamp := r.Header.Get("X-Server-Stamp"); stamp != "" && r.StatusCode != http.StatusOK {
+		given := slices.ContainsFunc(runs, func(x run) bool { return x.stamp == stamp && x.status == r.StatusCode })
+		l.check("stamp", given,
+			"%s: a failure with status %d that no replica gave", id, r.StatusCode)
+	}
+}
+
+// judgeMissing checks that no route was missing that must be in force.
+func (c *caller) judgeMissing(id, path string, began time.Time, before []version) {
+	v := before[len(before)-1]
+	settled := !v.acked.IsZero() && began.Sub(v.acked) > applyBound
+	own := path == pathAll || path == pathRead || path == pathOnce
+	inForce := own || strings.HasPrefix(path, v.extra) && v.extra != ""
+	if c.world.calmFor() >= inTouch+time.Since(began) {
+		c.world.ledger.check("config", !inForce || !settled && !own, "%s: %s is not found %s after version %d",
+			id, path, began.Sub(v.acked), v.number)
+	}
+	c.world.ledger.check("denied", !own, "%s: %s was never taken away", id, path)
+}
+
+func (c *caller) judgeWhole(id, method string, r *http.Response, body []byte, runs []run) {
+	stamp := r.Header.Get("X-Server-Stamp")
+	at := slices.IndexFunc(runs, func(x run) bool { return x.stamp == stamp && x.status == http.StatusOK })
+	c.world.ledger.check("own", at >= 0, "%s: the signature %s is of no run of it", id, stamp)
+	if at < 0 {
+		return
+	}
+	want := recordsOf(id, runs[at].service)
+	if method == http.MethodPost {
+		want = append(want, "body of "+id...)
+	}
+	c.world.ledger.check("whole", bytes.Equal(body, want), "%s: %d bytes of %d", id, len(body), len(want))
+}
+
+func (c *caller) judgeParts(id string, r *http.Response, body []byte, runs []run) {
+	var services []string
+	for stamp := range strings.SplitSeq(strings.Join(r.Header.Values("X-Part-Stamps"), ","), ",") {
+		stamp = strings.TrimSpace(stamp)
+		at := slices.IndexFunc(runs, func(x run) bool { return x.stamp == stamp && x.status == http.StatusOK })
+		c.world.ledger.check("part", at >= 0, "%s: the signature %q is of no good run of it", id, stamp)
+		if at < 0 {
+			return
+		}
+		service := runs[at].service
+		c.world.ledger.check("part", !slices.Contains(services, service), "%s: two parts of %s", id, service)
+		services = append(services, service)
+	}
+	missing, _ := strconv.Atoi(r.Header.Get("X-Missing-Parts")) // none is 0
+	fits := slices.ContainsFunc(c.world.known(), func(v version) bool {
+		return len(services)+missing == len(v.set) && !slices.ContainsFunc(services, func(s string) bool {
+			return !slices.Contains(v.set, s)
+		})
+	})
+	n := len(services)
+	c.world.ledger.check("set", fits, "%s: %d parts of %v and %d missing make no set", id, n, services, missing)
+	c.world.ledger.check("least", 10*n >= 6*(n+missing), "%s: %d parts, %d missing", id, n, missing)
+	c.world.ledger.check("greatest", bytes.Equal(body, greatestOf(id, services)),
+		"%s: the body does not hold the greatest records of its parts", id)
+}
+
+func countBy(runs []run) map[string]int {
+	counts := map[string]int{}
+	for _, r := range runs {
+		counts[r.service]++
+	}
+	return counts
+}
+
+// addresses asks a daemon where to connect.
+func (p *process) addresses() ([]string, error) {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + p.ip + ":8100/resolve?name=soak.example&zone=" + p.zone)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addrs []string `json:"addrs"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer.Addrs, err
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,329 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"sycamoreramp.example/sycamoreramp/internal/standin"
+)
+
+// Sizes of a run.
+const (
+	shards     = 5
+	copies     = 2 // replicas of a shard
+	topRecords = 6
+	inTouch    = 4 * time.Second // calm after which bounds hold
+	applyBound = 3 * time.Second // for a configuration to be in force
+	graceTime  = 6 * time.Second // from SIGTERM to SIGKILL
+	timeout    = 900 * time.Millisecond
+)
+
+var zones = []string{"z0", "z1", "z2"}
+
+// configWire is the operator's configuration.
+type configWire struct {
+	Version  int              `json:"version"`
+	Routes   []map[string]any `json:"routes"`
+	Services []map[string]any `json:"backends"`
+	Limits   map[string]any   `json:"limits"`
+}
+
+// version is a configuration with the time at which the store acknowledged it.
+type version struct {
+	number int
+	set    []string // services that are gathered
+	extra  string   // path of a route that only this version has
+	acked  time.Time
+}
+
+// world is the daemons of one run with everything around them.
+type world struct {
+	seed   uint64
+	host   string
+	dir    string
+	binary string
+	ledger *ledger
+	store  *standin.Platform
+	server *http.Server
+	ctx    context.Context
+
+	mutex    sync.Mutex // guards the fields below
+	started  int        // replicas
+	replicas []*replica
+	versions []version
+	shaken   time.Time // when the last fault ended, or now while one lasts
+	faults   int       // faults that last
+	daemons  []*process
+}
+
+// put writes a key into the store as others than daemons do.
+func (w *world) put(key string, value []byte) error {
+	client := w.store.For("outside")
+	current, _ := client.Get(w.ctx, key) // revision 0 if there is none
+	_, err := client.Swap(w.ctx, key, value, current.Revision, "")
+	return err
+}
+
+// calmFor returns for how long no fault has lasted.
+func (w *world) calmFor() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.faults > 0 {
+		return 0
+	}
+	return time.Since(w.shaken)
+}
+
+// during keeps the world shaken until the returned function is called.
+func (w *world) during() (end func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.faults++
+	return func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.faults--
+		w.shaken = time.Now()
+	}
+}
+
+// configure writes the next configuration.
+func (w *world) configure(set []string, extra string) error {
+	w.mutex.Lock()
+	number := 3
+	if n := len(w.versions); n > 0 {
+		number = w.versions[n-1].number + 2
+	}
+	v := version{number: number, set: set, extra: extra}
+	w.versions = append(w.versions, v) // may be in force from now on
+	at := len(w.versions) - 1
+	w.mutex.Unlock()
+	route := func(name, path, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "soak.example", "pathPrefix": path, "type": kind, "attempts": 2,
+			"timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 200, "priority": 1,
+		}
+	}
+	all, read := route("all", "/all/", "idempotent"), route("read", "/read/", "idempotent")
+	all["gather"], all["topK"], all["minCoverage"] = set, topRecords, 0.6
+	read["trafficSplit"] = []map[string]any{{"backend": "one", "weight": 3}, {"backend": "two", "weight": 1}}
+	once := route("once", "/once/", "non_idempotent")
+	once["backend"] = "one"
+	config := configWire{Version: number, Routes: []map[string]any{all, read, once}, Limits: map[string]any{
+		"maxBodyBytes": 100000, "idleTimeoutMs": 15000,
+	}}
+	if extra != "" {
+		added := route("added", extra, "idempotent")
+		added["backend"] = "two"
+		config.Routes = append(config.Routes, added)
+	}
+	for _, s := range append([]string{"one", "two"}, set...) {
+		config.Services = append(config.Services, map[string]any{"name": s, "maxConnections": 60})
+	}
+	value, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	if err := w.put("op/config", value); err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.versions[at].acked = time.Now()
+	return nil
+}
+
+// known returns the versions so far.
+func (w *world) known() []version {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]version(nil), w.versions...)
+}
+
+// process is a daemon on its own loopback address.
+type process struct {
+	world  *world
+	name   string
+	ip     string
+	zone   string
+	store  *proxy
+	mutex  sync.Mutex // guards the fields below
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	killed time.Time // when it last got SIGKILL, or was let end
+	struck time.Time // when anything was last done to it
+	meant  bool      // its end is the run's doing
+}
+
+const settingsFile = `nodeName = %q
+ip = %q
+zone = %q
+seeds = ["127.%d.1.1:8106", "127.%d.1.2:8106"]
+[bindAddrs]
+front = "%[2]s:8104"
+readiness = "%[2]s:8108"
+control = "%[2]s:8106"
+directory = "%[2]s:8100"
+[bounds]
+graceS = 6
+drainMs = 3000
+configApplyMs = 3000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 60
+ttl_max_s = 5
+[platform]
+address = %[6]q
+`
+
+func (p *process) settings() string { return filepath.Join(p.world.dir, p.name+".toml") }
+
+// start runs the daemon. Its log goes to a file that every start appends to.
+func (p *process) start() error {
+	log, err := os.OpenFile(filepath.Join(p.world.dir, p.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.world.binary, "--platform", "--settings", p.settings())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.mutex.Lock()
+	p.cmd, p.ended, p.meant, p.struck = cmd, ended, false, time.Now()
+	p.mutex.Unlock()
+	go func() {
+		err := cmd.Wait()
+		_ = log.Close()
+		p.mutex.Lock()
+		meant := p.meant
+		p.mutex.Unlock()
+		p.world.ledger.check("exit", meant, "%s ended by itself: %v", p.name, err)
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that runs now.
+func (p *process) signal(s syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.struck = time.Now()
+	switch s {
+	case syscall.SIGKILL:
+		p.killed, p.meant = time.Now(), true
+	case syscall.SIGTERM:
+		p.meant = true
+	}
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+// stop ends the process with a signal, and with SIGKILL after the grace time.
+func (p *process) stop(s syscall.Signal) {
+	p.signal(s)
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(graceTime):
+		p.world.ledger.check("grace", s == syscall.SIGKILL, "%s was still there after its grace time", p.name)
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
+	p.mutex.Lock()
+	p.killed = time.Now()
+	p.mutex.Unlock()
+}
+
+// struckWithin reports whether anything was done to the process since then.
+func (p *process) struckSince(at time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.struck.After(at) || p.killed.After(at)
+}
+
+// newWorld starts stand-ins and daemons. Daemons listen on loopback addresses that
+// belong to the seed.
+func newWorld(ctx context.Context, seed uint64, daemons int, binary, dir string) (*world, error) {
+	octet := 2 + int(seed%120)
+	w := &world{
+		seed: seed, host: fmt.Sprintf("127.%d.0.1", octet), dir: dir, binary: binary, ledger: newLedger(),
+		store: standin.NewPlatform(), ctx: ctx, shaken: time.Now(),
+	}
+	listener, err := net.Listen("tcp", w.host+":0")
+	if err != nil {
+		return nil, err
+	}
+	w.server = &http.Server{Handler: w.store.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.server.Serve(listener) }() // until it is closed
+	for _, s := range append([]string{"one", "one", "one", "two", "two"}, w.shardSet(0)...) {
+		if err := w.newReplica(s); err != nil {
+			return nil, err
+		}
+	}
+	for _, s := range w.shardSet(0) { // the second copies
+		if err := w.newReplica(s); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.configure(w.shardSet(0), ""); err != nil {
+		return nil, err
+	}
+	for i := range daemons {
+		p := &process{
+			world: w, name: fmt.Sprintf("d%d", i+1), ip: fmt.Sprintf("127.%d.1.%d", octet, i+1), zone: zones[i%len(zones)],
+		}
+		if p.store, err = newProxy(w.host, listener.Addr().String()); err != nil {
+			return nil, err
+		}
+		text := fmt.Sprintf(settingsFile, p.name, p.ip, p.zone, octet, octet, p.store.address())
+		if err := os.WriteFile(p.settings(), []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		if err := p.start(); err != nil {
+			return nil, err
+		}
+		w.daemons = append(w.daemons, p)
+	}
+	return w, nil
+}
+
+// shardSet returns the services of the n-th partition of the index.
+func (w *world) shardSet(n int) []string {
+	set := make([]string, 0, shards)
+	for i := range shards {
+		set = append(set, fmt.Sprintf("s%d-%d", n, i))
+	}
+	return set
+}
+
+// close ends everything that the run started.
+func (w *world) close() {
+	for _, p := range w.daemons {
+		p.signal(syscall.SIGCONT)
+		p.stop(syscall.SIGKILL)
+		p.store.close()
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, r := range w.replicas {
+		_ = r.server.Close()
+		r.proxy.close()
+	}
+	_ = w.server.Close()
+}
+
+// random returns a source of random numbers for one part of the run.
+func (w *world) random(part uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, part)) }
