--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -172,6 +172,8 @@
 	}
 	again := func(signal syscall.Signal) func(time.Duration) {
 		return func(took time.Duration) {
+			d.turn.Lock()
+			defer d.turn.Unlock()
 			d.stop(signal)
 			time.Sleep(took / 4)
 			if err := d.start(); err != nil {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -157,6 +157,7 @@
 	ip     string
 	zone   string
 	store  *proxy
+	turn   sync.Mutex // held from stopping the process until it runs again
 	mutex  sync.Mutex // guards the fields below
 	cmd    *exec.Cmd
 	ended  chan struct{}
