--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,7 +50,8 @@
 
 	confirmed  atomic.Int64 // clock time in nanoseconds of the last word from the store, 0 for none
 	turn       atomic.Uint64
-	changes    *ramp.Mutex // held while a change is taken in
+	looked     chan struct{} // closed when the store has answered or failed for the first time
+	changes    *ramp.Mutex   // held while a change is taken in
 	started    time.Time
 	size       *ramp.Table[string, fleetSize]   // one entry
 	registered *ramp.Table[string, ramp.Daemon] // by incarnation, as the store lists them
@@ -66,6 +68,7 @@
 // Init makes the observer ready for calls of others, before Run.
 func (o *Observer) Init() {
 	o.changes = ramp.NewMutex(ramp.RankChanges)
+	o.looked = make(chan struct{})
 	o.started = o.Clock.Now()
 	o.size = ramp.NewTable[string, fleetSize](ramp.RankDaemons)
 	o.registered = ramp.NewTable[string, ramp.Daemon](ramp.RankDaemons)
@@ -146,6 +149,7 @@
 // watch follows the store.
 func (o *Observer) watch(ctx context.Context) {
 	after, failures := uint64(0), 0
+	looked := sync.OnceFunc(func() { close(o.looked) })
 	for ctx.Err() == nil {
 		if !o.watches() {
 			_ = ramp.Wait(ctx, o.Clock, observePause)
@@ -174,6 +178,7 @@
 				pause = o.Bound / settleShare
 			}
 		}
+		looked()
 		if pause > 0 {
 			_ = ramp.Wait(ctx, o.Clock, pause)
 		}
--- a/fleet/tell.go
+++ b/fleet/tell.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
 )
 
+// lookTime is how long a daemon that starts waits for the store before it asks
+// others. An answer takes milliseconds, and a good second while the store is slow.
+const lookTime = time.Second
+
 // everyone is how many daemons a leaving one tells at once.
 const everyone = 64
 
 // tell exchanges news with one other daemon at a time. A daemon that starts to
 // leave tells all.
 func (o *Observer) tell(ctx context.Context) {
+	o.awaitStore(ctx)
 	leaving := o.Leaving
 	for ctx.Err() == nil {
 		for _, d := range o.partners() {
@@ -34,6 +40,19 @@
 	}
 }
 
+// awaitStore waits for the first word from the store, so that daemons which start
+// together do not ask a few others for all that the store can tell them.
+func (o *Observer) awaitStore(ctx context.Context) {
+	expired := make(chan struct{})
+	stop := o.Clock.AfterFunc(lookTime, func() { close(expired) })
+	defer stop()
+	select {
+	case <-o.looked:
+	case <-expired:
+	case <-ctx.Done():
+	}
+}
+
 // others returns the members without this daemon.
 func (o *Observer) others() []ramp.Daemon {
 	var others []ramp.Daemon
