--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,8 +17,8 @@
 // Bounds of the metrics.
 const (
 	reportPeriod = time.Second // between two reports of the counters
-	maxPlanTags  = 64          // plans with counters of their own
-	otherPlans   = "other"     // tag of the plans beyond those
+	maxNames     = 64          // plans and routes with counters of their own
+	otherNames   = "other"     // tag of those beyond
 )
 
 // Names of tags.
@@ -40,7 +40,7 @@
 	scope    tally.Scope
 	closer   io.Closer
 	reporter reporting.Reporter
-	plans    *ramp.Table[string, bool] // plans with counters of their own
+	plans    *ramp.Table[string, bool] // plans and routes with counters of their own
 }
 
 func newMetrics() *metrics {
@@ -59,7 +59,7 @@
 func (m *metrics) Observe(q ramp.Query, answer ramp.Answer, err error) {
 	operation := map[string]string{"operation": string(q.Operation)}
 	m.scope.Tagged(map[string]string{
-		"operation": string(q.Operation), tagOutcome: outcomeOf(answer, err), "plan": m.planTag(q.Plan),
+		"operation": string(q.Operation), tagOutcome: outcomeOf(answer, err), "plan": m.nameTag(q.Plan),
 	}).Counter("requests").Inc(1)
 	m.scope.Tagged(operation).Histogram("latency", latencyBuckets).RecordDuration(answer.Elapsed)
 	if whole := answer.Whole.Size(); whole > 0 {
@@ -94,15 +94,15 @@
 
 // planTag returns the plan, or the tag of the others when it has no counters of
 // its own.
-func (m *metrics) planTag(name string) string {
+func (m *metrics) nameTag(name string) string {
 	if name == "" {
 		return "none"
 	}
 	if known, _ := m.plans.Get(name); known {
 		return name
 	}
-	if m.plans.Len() >= maxPlanTags {
-		return otherPlans
+	if m.plans.Len() >= maxNames {
+		return otherNames
 	}
 	m.plans.Put(name, true)
 	return name
@@ -150,7 +150,7 @@
 
 // ObserveDelivery counts a message and its attempts.
 func (m *metrics) ObserveDelivery(_ ramp.Message, d ramp.Delivery, err error) {
-	route := m.planTag(d.Route)
+	route := m.nameTag(d.Route)
 	m.scope.Tagged(map[string]string{tagRoute: route, tagOutcome: deliveryOutcome(d, err)}).Counter("messages").Inc(1)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Counter("missing_parts").Inc(int64(d.Missing))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -149,27 +149,26 @@
 	lasting.Wait()
 }
 
-// draw returns a fault by its name. It returns when the fault has ended.
+// fault is what may happen to the world. It returns when it has ended.
+type fault struct {
+	name string
+	play func(time.Duration)
+}
+
+// draw returns a fault by its name.
 func (s *storm) draw() (string, func(time.Duration)) {
 	w := s.world
 	d := w.daemons[s.random.IntN(len(w.daemons))]
 	w.mutex.Lock()
 	r := w.replicas[s.random.IntN(len(w.replicas))]
 	w.mutex.Unlock()
-	through := func(p *proxy, m mode) func(time.Duration) {
-		return func(took time.Duration) {
-			p.set(m)
-			time.Sleep(took)
-			p.set(mode{})
-		}
-	}
-	store := func(f standin.Fault) func(time.Duration) {
-		return func(took time.Duration) {
-			w.store.SetFault("", f)
-			time.Sleep(took)
-			w.store.SetFault("", standin.Fault{})
-		}
-	}
+	faults := slices.Concat(w.ofDaemon(d), w.ofStore(d), ofReplica(r))
+	f := faults[s.random.IntN(len(faults))]
+	return f.name, f.play
+}
+
+// ofDaemon returns what may happen to a daemon's process.
+func (w *world) ofDaemon(d *process) []fault {
 	again := func(signal syscall.Signal) func(time.Duration) {
 		return func(took time.Duration) {
 			d.turn.Lock()
@@ -181,10 +180,7 @@
 			}
 		}
 	}
-	faults := []struct {
-		name string
-		play func(time.Duration)
-	}{
+	return []fault{
 		{"kill " + d.name, again(syscall.SIGKILL)},
 		{"stop " + d.name, again(syscall.SIGTERM)},
 		{"freeze " + d.name, func(took time.Duration) {
@@ -193,6 +189,19 @@
 			d.signal(syscall.SIGCONT)
 		}},
 		{"hang up " + d.name, func(time.Duration) { d.signal(syscall.SIGHUP) }},
+	}
+}
+
+// ofStore returns what may happen to the store, and to a daemon's way to it.
+func (w *world) ofStore(d *process) []fault {
+	store := func(f standin.Fault) func(time.Duration) {
+		return func(took time.Duration) {
+			w.store.SetFault("", f)
+			time.Sleep(took)
+			w.store.SetFault("", standin.Fault{})
+		}
+	}
+	return []fault{
 		{"store refuses " + d.name, through(d.store, mode{refuse: true})},
 		{"store silent to " + d.name, through(d.store, mode{mute: true})},
 		{"store deaf to " + d.name, through(d.store, mode{deaf: true})},
@@ -200,6 +209,12 @@
 		{"store down", store(standin.Fault{Down: true})},
 		{"store slow", store(standin.Fault{Slow: 400 * time.Millisecond})},
 		{"store loses replies", store(standin.Fault{Lose: 5})},
+	}
+}
+
+// ofReplica returns what may happen to a replica, and to the way to it.
+func ofReplica(r *replica) []fault {
+	return []fault{
 		{"replica refuses " + r.instance.ID, through(r.proxy, mode{refuse: true})},
 		{"replica silent " + r.instance.ID, through(r.proxy, mode{mute: true})},
 		{"replica deaf " + r.instance.ID, through(r.proxy, mode{deaf: true})},
@@ -210,8 +225,15 @@
 			r.behave(sound)
 		}},
 	}
-	f := faults[s.random.IntN(len(faults))]
-	return f.name, f.play
+}
+
+// through changes for a time what a proxy does.
+func through(p *proxy, m mode) func(time.Duration) {
+	return func(took time.Duration) {
+		p.set(m)
+		time.Sleep(took)
+		p.set(mode{})
+	}
 }
 
 // change lets a replica leave for another one, and changes the configuration: the
--- a/message.go
+++ b/message.go
@@ -27,7 +27,6 @@
 	Instance    Instance
 	Deadline    time.Time // the replica stops work then
 	Idempotent  bool      // the message may run more than once
-	Part        bool      // the response is one of many that make an answer
 	Connections int       // that may be open to the replica at once; at least 1
 }
 
--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -228,7 +228,7 @@
 	}
 	response, err := p.relay.Exchange.Exchange(state.context, ramp.Call{
 		Message: p.message, Instance: i, Deadline: p.deadline, Idempotent: p.route.Idempotent,
-		Part: p.route.Gathered(), Connections: p.connections(state.service),
+		Connections: p.connections(state.service),
 	})
 	p.finish(index, a, response, err)
 }
--- a/route.go
+++ b/route.go
@@ -17,7 +17,6 @@
 	Attempts   int           // replicas of a service that one request may be sent to; at least 1
 	Timeout    time.Duration // longest time that a caller is kept waiting; positive
 	Objective  time.Duration // time within which an answer is worth most; 0 for none
-	Priority   int           // rank; 0 is the most urgent
 	Split      []Weight      // services of which one takes a request; never modified
 	Gather     []string      // services that each hold a part of every answer; never modified
 	Top        int           // greatest records that an answer over Gather holds
@@ -61,10 +60,8 @@
 
 // CallerLimits bounds what a caller may send.
 type CallerLimits struct {
-	Header     int           // bytes of a request's head
-	Body       int           // bytes of a request's body
-	HeaderTime time.Duration // for sending the head
-	IdleTime   time.Duration // for which a connection may stay idle
+	Body     int           // bytes of a request's body
+	IdleTime time.Duration // for which a connection may stay idle
 }
 
 // Routing is one version of the operator's configuration.
