sycamoreramp: read a replica's record and the life of addresses in one place

Found in the last reading: the test of whether a record is of the present start stood three times, the life of addresses twice; a branch of helping never ran; two comments promised an order of fields that there is not; sorting keys is in the library.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -195,7 +195,7 @@
 	}
 }
 
-// fieldsOf returns the fields in the order of their names.
+// fieldsOf returns the fields; those of one name keep their order.
 func fieldsOf(header http.Header) []ramp.Field {
 	fields := make([]ramp.Field, 0, len(header))
 	for name, values := range header {
--- a/cmd/sycamoreramp/trace.go
+++ b/cmd/sycamoreramp/trace.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -58,7 +58,7 @@
 	}
 	for _, l := range lines {
 		fmt.Fprintf(t.out, "%s %s: %s\n", l.Time, l.Log, l.What)
-		for _, key := range sortedKeys(l.Keys) {
+		for _, key := range slices.Sorted(maps.Keys(l.Keys)) {
 			fmt.Fprintf(t.out, "  %s %s\n", key, l.Keys[key])
 		}
 	}
@@ -89,7 +89,7 @@
 		}
 		lines = append(lines, line)
 	}
-	if err := scanner.Err(); err != nil && !errors.Is(err, io.EOF) {
+	if err := scanner.Err(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	return lines, nil
@@ -137,12 +137,3 @@
 	}
 	return b.String(), ""
 }
-
-func sortedKeys(keys map[string]string) []string {
-	names := make([]string, 0, len(keys))
-	for name := range keys {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -131,7 +131,7 @@
 	front := platform.Front{Asker: relay, Routes: e.routes, Leaving: e.isLeaving}
 	e.serve(d.Callers, front).ConnState = e.idle.Observe
 	directory := http.NewServeMux()
-	directory.HandleFunc("GET /resolve", platform.Addresses(e.members, min(d.AddressLife, d.Grace/lifeParts)))
+	directory.HandleFunc("GET /resolve", platform.Addresses(e.members, addressLife(d)))
 	e.serve(d.Directory, directory)
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /ready", platform.Readiness(e.isReady))
@@ -195,8 +195,7 @@
 // any more, and lets the requests in progress end.
 func (e *Edge) leave() error {
 	close(e.leaving)
-	life := min(e.deployment.AddressLife, e.deployment.Grace/lifeParts)
-	linger := min(lifeKept*life+lingerSlack, e.deployment.Grace/2)
+	linger := min(lifeKept*addressLife(e.deployment)+lingerSlack, e.deployment.Grace/2)
 	e.log.Info("daemon leaving", "daemon", e.self.ID, "linger", linger, "grace", e.deployment.Grace)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -209,6 +208,9 @@
 	return errs
 }
 
+// addressLife returns how long callers may keep an answer about addresses.
+func addressLife(d ramp.Deployment) time.Duration { return min(d.AddressLife, d.Grace/lifeParts) }
+
 func (e *Edge) isLeaving() bool {
 	select {
 	case <-e.leaving:
--- a/fleet/helpers.go
+++ b/fleet/helpers.go
@@ -19,11 +19,8 @@
 	until    time.Time // it is not asked before
 }
 
-// with returns the state after another call.
-func (h helping) with(inTime bool, now time.Time) helping {
-	if inTime {
-		return helping{}
-	}
+// withFailure returns the state after another failure.
+func (h helping) withFailure(now time.Time) helping {
 	rest := min(helperRest<<min(h.failures, maxShift), helperLongest)
 	return helping{failures: h.failures + 1, until: now.Add(rest)}
 }
@@ -65,5 +62,5 @@
 		h.lately.Delete(d.Incarnation)
 		return
 	}
-	h.lately.Update(d.Incarnation, func(old helping) helping { return old.with(false, now) })
+	h.lately.Update(d.Incarnation, func(old helping) helping { return old.withFailure(now) })
 }
--- a/fleet/mirror.go
+++ b/fleet/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -122,7 +121,7 @@
 		listed[e.Key] = true
 	}
 	var removed []ramp.Entry
-	for k, e := range maps.Clone(s.entries) {
+	for k, e := range s.entries {
 		if listed[k] || e.Removed || e.Revision > c.Until {
 			continue
 		}
--- a/message.go
+++ b/message.go
@@ -33,7 +33,7 @@
 // Response is what a replica sent for a call.
 type Response struct {
 	Status    int
-	Fields    []Field // those to pass on, in the order of their names; never modified
+	Fields    []Field // those to pass on; those of one name keep their order; never modified
 	Stamp     string  // the replica's signature; "" for none
 	Body      []byte  // whole; never modified
 	Connected bool    // a new connection was opened for it
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -44,11 +44,18 @@
 	judged   time.Time // when trouble was last changed
 }
 
-// placed returns the record with one more attempt at the given start.
-func (r record) placed(i ramp.Instance, now time.Time) record {
+// at returns the record if it is of the given start, and an empty one of that
+// start otherwise.
+func (r record) at(i ramp.Instance) record {
 	if r.born != i.Born || r.address != i.Address {
-		r = record{born: i.Born, address: i.Address}
+		return record{born: i.Born, address: i.Address}
 	}
+	return r
+}
+
+// placed returns the record with one more attempt at the given start.
+func (r record) placed(i ramp.Instance, now time.Time) record {
+	r = r.at(i)
 	if r.Busy == 0 {
 		r.progress = now
 	}
@@ -122,10 +129,7 @@
 		if !ok || wasTried(tried, l.ID) {
 			continue
 		}
-		r, _ := p.records.Get(l.ID)
-		if r.born != l.Born || r.address != l.Address {
-			r = record{}
-		}
+		r := p.of(l)
 		if footing == ramp.Sound && r.Avoided(now) {
 			footing = ramp.Avoided
 		}
@@ -142,6 +146,12 @@
 	return best.Instance, bestFooting, true
 }
 
+// of returns what is known of the replica's present start.
+func (p *Picker) of(l listed) record {
+	r, _ := p.records.Get(l.ID)
+	return r.at(l.Instance)
+}
+
 // score returns the expected time until a reply.
 func (p *Picker) score(l listed, r record, now time.Time) float64 {
 	queue := float64(r.Busy + 1)
@@ -178,7 +188,7 @@
 		if footing, ok := l.footing(now); !ok || footing != ramp.Sound {
 			continue
 		}
-		if r, _ := p.records.Get(l.ID); r.born == l.Born && r.address == l.Address && !r.steady(now) {
+		if !p.of(l).steady(now) {
 			continue
 		}
 		if l.Domain == p.domain {
