plan: grow a limit that queries do not fit into

Change: a query that does not fit marks the limit as in use. TestLimitOfLargeQueries failed before (limit stays at 14).

--- a/plan/admission.go
+++ b/plan/admission.go
@@ -92,6 +92,9 @@
 		m.start(l, f, cost)
 		return l, nil, nil
 	}
+	if !l.fits(cost) {
+		l.limit = l.limit.WithShort()
+	}
 	w := &waiter{cost: cost, since: now, longest: l.patience(q, a, now), granted: make(chan struct{})}
 	load, share := m.expectedWait(l, f, cost)
 	if m.full(l, f) || max(load, share) > w.longest || w.longest <= 0 {
--- a/plan/limit.go
+++ b/plan/limit.go
@@ -35,6 +35,7 @@
 	attempts int       // ended in the current window
 	refused  int       // of those, refused by a replica or not started
 	peak     float64   // most sub-requests running in the current window
+	short    bool      // a query did not fit in the current window
 	narrow   holdTime  // of queries with one sub-request
 	broad    holdTime  // of queries with more
 }
@@ -59,6 +60,14 @@
 	return l
 }
 
+// WithShort notes that a query did not fit. The limit is then in use, however
+// far below it the running queries are: one with many sub-requests may not fit
+// beside another even into a limit that is mostly free.
+func (l Limit) WithShort() Limit {
+	l.short = true
+	return l
+}
+
 // WithAttempt notes how an attempt ended. Attempts that this daemon gave up say
 // nothing about the replica.
 func (l Limit) WithAttempt(outcome ramp.Outcome) Limit {
@@ -90,6 +99,7 @@
 	if now.Sub(l.opened) < windowTime || !enough {
 		return l
 	}
+	used := l.short || l.peak >= l.Size*inUse
 	factor := min(l.narrow.factor(), l.broad.factor())
 	if float64(l.refused) > refusedShare*float64(l.attempts) {
 		factor = min(factor, decrease)
@@ -98,13 +108,13 @@
 	case factor < 1:
 		l.Size = max(l.floor, min(l.Size, l.peak)*factor)
 		l.started = true
-	case l.peak >= l.Size*inUse && !l.started:
+	case used && !l.started:
 		l.Size = min(l.ceiling, 2*l.Size)
-	case l.peak >= l.Size*inUse:
+	case used:
 		l.Size = min(l.ceiling, l.Size+max(1, l.Size*increase))
 	}
 	l.narrow, l.broad = l.narrow.learnt(), l.broad.learnt()
-	l.opened, l.attempts, l.refused, l.peak = now, 0, 0, 0
+	l.opened, l.attempts, l.refused, l.peak, l.short = now, 0, 0, 0, false
 	return l
 }
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -391,6 +391,33 @@
 	golden.Check(t, "limit", b.String())
 }
 
+// TestLimitOfLargeQueries checks that a limit grows which holds back queries of
+// so many sub-requests that a second one never fits beside the first.
+func TestLimitOfLargeQueries(t *testing.T) {
+	is := is.New(t)
+	const large = 8
+	clock := &manualClock{now: time.Unix(0, 0)}
+	m := shared(clock, func() []ramp.Daemon { return nil }).(*Admitter)
+	a := ramp.Allowance{Plan: "free", Share: 1} // no objective: what does not fit is refused
+	l := m.laneOf("s")
+	l.limit = Limit{Size: 14, floor: large, ceiling: 400, started: true}
+	for range 4 {
+		for range holdMin {
+			q := ramp.Query{Customer: "c", Service: "s", Operation: ramp.Search, Deadline: clock.now.Add(time.Second)}
+			release, err := m.Admit(context.Background(), q, a, large)
+			is.NoErr(err)
+			_, err = m.Admit(context.Background(), q, a, large)
+			if err == nil {
+				return // two of them fit
+			}
+			m.Observe(q, ramp.Answer{Ran: ramp.HasRun, Attempts: []ramp.Attempt{{Elapsed: 10 * time.Millisecond}}})
+			clock.now = clock.now.Add(windowTime)
+			release()
+		}
+	}
+	t.Errorf("the limit stays at %.0f", l.limit.Size)
+}
+
 // TestReport checks that the counters told to several receivers are the same,
 // and that their number is bounded.
 func TestReport(t *testing.T) {
