sycamoreramp: check deploy files, print verdicts as JSON

The tool checked the platform's settings files only. A deploy file with a missing role or a share out of bounds showed when the platform refused it.

--- a/cmd/sycamoreramp/settings.go
+++ b/cmd/sycamoreramp/settings.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -63,8 +64,10 @@
 }
 
 type checkCommand struct {
+	outputFlags
 	Daemon    []string `arg:"--daemon,separate" help:"settings files of daemons"`
 	Platform  []string `arg:"--platform,separate" help:"settings files that the users' platform writes"`
+	Deploy    []string `arg:"--deploy,separate" help:"deploy files for the users' platform"`
 	Tool      []string `arg:"--tool,separate" help:"settings files of this tool"`
 	Customers string   `arg:"--customers" help:"TOML file with the customers; needs --plans"`
 	Plans     string   `arg:"--plans" help:"TOML file with the plans; needs --customers"`
@@ -82,12 +85,14 @@
 		return &exitError{Code: exitUsage, Cause: fmt.Errorf("no example for %q: want daemon or tool", c.Example)}
 	}
 	var failures []error
+	verdicts := []checkedWire{}
 	note := func(file string, err error) {
+		verdict := checkedWire{File: file, OK: err == nil}
 		if err != nil {
 			failures = append(failures, err)
-			return
+			verdict.Faults = strings.Split(err.Error(), "\n")
 		}
-		fmt.Fprintf(t.out, "%s: ok\n", file)
+		verdicts = append(verdicts, verdict)
 	}
 	for _, file := range c.Daemon {
 		_, err := settings.Load(file)
@@ -97,6 +102,9 @@
 		_, err := platform.LoadSettings(file)
 		note(file, err)
 	}
+	for _, file := range c.Deploy {
+		note(file, platform.CheckDeploy(file))
+	}
 	for _, file := range c.Tool {
 		_, err := settings.LoadTool(file)
 		note(file, err)
@@ -104,12 +112,38 @@
 	if c.Customers != "" || c.Plans != "" {
 		note(c.Customers+" and "+c.Plans, c.checkLists())
 	}
+	if err := c.report(t.out, verdicts); err != nil {
+		return err
+	}
 	if len(failures) > 0 {
 		return &exitError{Code: exitUsage, Cause: errors.Join(failures...)}
 	}
 	return nil
 }
 
+// checkedWire is the verdict about a file in JSON.
+type checkedWire struct {
+	File   string   `json:"file"`
+	OK     bool     `json:"ok"`
+	Faults []string `json:"faults,omitempty"`
+}
+
+// report prints the verdicts. Faults go to the error that the command ends with,
+// and with it to standard error.
+func (c *checkCommand) report(out io.Writer, verdicts []checkedWire) error {
+	if len(verdicts) == 0 {
+		return nil
+	}
+	return c.print(out, verdicts, func(w io.Writer) error {
+		for _, v := range verdicts {
+			if v.OK {
+				fmt.Fprintf(w, "%s: ok\n", v.File)
+			}
+		}
+		return nil
+	})
+}
+
 func (c *checkCommand) checkLists() error {
 	customers, err := os.ReadFile(c.Customers)
 	if err != nil {
