daemon: report burn and belief on the platform

On the platform's path nothing told the service-level burn, and a daemon's view of routes, replicas and neighbours showed only in its log. The metrics address serves both; burn counts by route, from the caller's first attempt on. The log's accounts state what each replica was picked by: footing, number of candidates, expected time, age of the entry; late requests have one too. Delivery carries its route and the caller's earlier wait for it. Tests: TestDeliveries, TestRelayLog, script belief.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -75,6 +75,63 @@
 	golden.Check(t, "burn", b.String())
 }
 
+// TestDeliveries writes down what messages on routes count as.
+func TestDeliveries(t *testing.T) {
+	parts := ramp.Route{
+		Name: "parts", Objective: 100 * time.Millisecond, Gather: []string{"a", "b", "c", "d"}, Least: 0.75,
+	}
+	one := ramp.Route{Name: "one", Timeout: time.Second, Split: []ramp.Weight{{Service: "a", Weight: 1}}}
+	tried := func(outcomes ...ramp.Outcome) []ramp.Attempt {
+		var attempts []ramp.Attempt
+		for _, o := range outcomes {
+			attempts = append(attempts, ramp.Attempt{Outcome: o})
+		}
+		return attempts
+	}
+	refused := func(reason ramp.Reason) error { return &ramp.RefusedError{Reason: reason} }
+	whole := []string{"s"}
+	var b strings.Builder
+	for _, test := range []struct {
+		name     string
+		delivery ramp.Delivery
+		err      error
+	}{
+		{"no route", ramp.Delivery{}, refused(ramp.ReasonRoute)},
+		{"whole", ramp.Delivery{Route: parts, Stamps: whole, Whole: 4}, nil},
+		{"late with what the caller had waited", ramp.Delivery{
+			Route: parts, Stamps: whole, Whole: 4, Age: 60 * time.Millisecond, Elapsed: 60 * time.Millisecond,
+			Attempts: tried(ramp.Merged, ramp.Cancelled),
+		}, nil},
+		{"a part is missing", ramp.Delivery{
+			Route: parts, Stamps: whole, Whole: 4, Missing: 1, Attempts: tried(ramp.Merged, ramp.Misdirected),
+		}, nil},
+		{"failed by a replica", ramp.Delivery{
+			Route: one, Whole: 1, Response: ramp.Response{Status: 500}, Attempts: tried(ramp.Failed),
+		}, nil},
+		{"not found by a replica", ramp.Delivery{Route: one, Whole: 1, Response: ramp.Response{Status: 404}}, nil},
+		{"refused by replicas", ramp.Delivery{Route: one, Whole: 1, Attempts: tried(ramp.Shed)}, refused(ramp.ReasonReplica)},
+		{"the caller left soon", ramp.Delivery{Route: parts, Whole: 4}, refused(ramp.ReasonCaller)},
+		{"the caller left late", ramp.Delivery{
+			Route: parts, Whole: 4, Elapsed: time.Second, Attempts: tried(ramp.Cancelled),
+		}, refused(ramp.ReasonCaller)},
+	} {
+		l := NewLedger(&manualClock{now: time.Unix(60000, 0)})
+		l.ObserveDelivery(test.delivery, test.err)
+		fmt.Fprintf(&b, "%s:", test.name)
+		for _, s := range l.Report() {
+			m := s.Minutes[0]
+			fmt.Fprintf(&b, " %s requests=%d slow=%d missing=%.2f", s.Service, m.Requests, m.Slow, m.Missing)
+			for i, p := range m.ByCause {
+				if p != (Portion{}) {
+					fmt.Fprintf(&b, " cause=%s", Cause(i))
+				}
+			}
+		}
+		fmt.Fprintln(&b)
+	}
+	golden.Check(t, "deliveries", b.String())
+}
+
 // TestBound checks that the series are bounded, that requests beyond the bound
 // are counted, and that idle series make room.
 func TestBound(t *testing.T) {
--- a/burn/window.go
+++ b/burn/window.go
@@ -22,6 +22,7 @@
 	LongWindow  = 60
 	MaxSeries   = 4096    // customers and services on one daemon
 	Others      = "other" // customer that stands for those beyond MaxSeries
+	NoCustomer  = "none"  // customer and plan where callers have none
 )
 
 // Cause says why a request missed an objective.
@@ -32,6 +33,7 @@
 	Straggler Cause = iota // a replica was slow
 	Shed                   // replicas refused work
 	Lost                   // a replica was lost or left
+	Failed                 // a replica failed the request
 	Share                  // the plan's share was used up
 	Load                   // the daemon shed load
 	Other                  // anything else
@@ -40,7 +42,7 @@
 
 // String returns the cause's name.
 func (c Cause) String() string {
-	return [Causes]string{"straggler", "shed", "lost", "share", "load", "other"}[c]
+	return [Causes]string{"straggler", "shed", "lost", "failed", "share", "load", "other"}[c]
 }
 
 // Counts sums up requests.
@@ -115,12 +117,48 @@
 	if q.Plan == "" || !a.Allows(q.Service) {
 		return
 	}
-	counts := countOf(a, answer, err)
+	slow, missing := answer.Elapsed > a.Latency, 1-answer.Coverage.Ratio(answer.Whole)
+	if err != nil {
+		slow, missing = true, 1 // a refused request missed both objectives
+	}
+	l.add(key{q.Customer, q.Plan, q.Service}, a.Latency, a.Coverage, countOf(slow, missing, answer.Attempts, err))
+}
+
+// ObserveDelivery counts a message. Its route stands in place of a service, since
+// callers of routes have neither a name nor a plan. A caller that left within the
+// objective was not kept waiting and counts for nothing.
+func (l *Ledger) ObserveDelivery(d ramp.Delivery, err error) {
+	if d.Route.Name == "" {
+		return
+	}
+	objective, least := d.Route.Objective, 1.0
+	if objective <= 0 {
+		objective = d.Route.Timeout
+	}
+	if d.Route.Gathered() {
+		least = d.Route.Least
+	}
+	waited := d.Age + d.Elapsed
+	slow, missing := waited > objective, 0.0
+	var refused *ramp.RefusedError
+	switch {
+	case errors.As(err, &refused) && refused.Reason == ramp.ReasonCaller && !slow:
+		return
+	case err != nil || !d.Gathered() && d.Response.Failed():
+		slow, missing = true, 1
+	case d.Whole > 0:
+		missing = float64(d.Missing) / float64(d.Whole)
+	}
+	l.add(key{NoCustomer, NoCustomer, d.Route.Name}, objective, least, countOf(slow, missing, d.Attempts, err))
+}
+
+// add adds counts to the current minute of a series.
+func (l *Ledger) add(k key, latency time.Duration, coverage float64, counts Counts) {
 	at := l.clock.Now().Unix() / 60
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	r := l.ringOf(key{q.Customer, q.Plan, q.Service}, at)
-	r.latency, r.coverage = a.Latency, a.Coverage
+	r := l.ringOf(k, at)
+	r.latency, r.coverage = latency, coverage
 	m := &r.minutes[at%LongWindow]
 	if m.At != at {
 		*m = Minute{At: at}
@@ -190,27 +228,22 @@
 	)
 }
 
-// countOf judges one request by its plan's objectives. A refused request
-// missed both.
-func countOf(a ramp.Allowance, answer ramp.Answer, err error) Counts {
-	c := Counts{Requests: 1}
-	if err != nil {
-		c.Slow, c.Missing = 1, 1
-	} else {
-		c.Missing = 1 - answer.Coverage.Ratio(answer.Whole)
-		if answer.Elapsed > a.Latency {
-			c.Slow = 1
-		}
+// countOf returns the counts of one request that was slow or not, and of which
+// the given share was not covered.
+func countOf(slow bool, missing float64, attempts []ramp.Attempt, err error) Counts {
+	c := Counts{Requests: 1, Missing: missing}
+	if slow {
+		c.Slow = 1
 	}
 	if c.Slow > 0 || c.Missing > 0 {
-		c.ByCause[causeOf(answer, err)] = Portion{Slow: c.Slow, Missing: c.Missing}
+		c.ByCause[causeOf(attempts, err)] = Portion{Slow: c.Slow, Missing: c.Missing}
 	}
 	return c
 }
 
 // causeOf tells why a request missed an objective, from its refusal or from
 // the outcomes of its attempts.
-func causeOf(answer ramp.Answer, err error) Cause {
+func causeOf(attempts []ramp.Attempt, err error) Cause {
 	var refused *ramp.RefusedError
 	if errors.As(err, &refused) {
 		switch refused.Reason {
@@ -220,16 +253,20 @@
 			return Load
 		case ramp.ReasonSnapshot:
 			return Lost
-		case ramp.ReasonReplica, ramp.ReasonDeadline:
+		case ramp.ReasonReplica, ramp.ReasonDeadline, ramp.ReasonCaller:
 		default:
 			return Other
 		}
 	}
 	cause := Other
-	for i := range answer.Attempts {
-		switch answer.Attempts[i].Outcome {
-		case ramp.Unreachable, ramp.Draining, ramp.NoVersion, ramp.WrongShard, ramp.Truncated:
+	for i := range attempts {
+		switch attempts[i].Outcome {
+		case ramp.Unreachable, ramp.Draining, ramp.NoVersion, ramp.WrongShard, ramp.Truncated, ramp.Misdirected:
 			return Lost
+		case ramp.Failed, ramp.Mismatched:
+			if cause != Shed {
+				cause = Failed
+			}
 		case ramp.Shed, ramp.Unstarted:
 			cause = Shed
 		case ramp.Merged, ramp.Late, ramp.Cancelled, ramp.Expired, ramp.Pending:
--- a/cmd/sycamoreramp/main.go
+++ b/cmd/sycamoreramp/main.go
@@ -47,6 +47,7 @@
 	Explain   *explainCommand   `arg:"subcommand:explain" help:"print the account of an earlier request"`
 	Trace     *traceCommand     `arg:"subcommand:trace" help:"print what logs of daemons tell of a request"`
 	Addresses *addressesCommand `arg:"subcommand:addresses" help:"print the addresses that a caller should use"`
+	Belief    *beliefCommand    `arg:"subcommand:belief" help:"print what a daemon on the platform takes to be true"`
 	Burn      *burnCommand      `arg:"subcommand:burn" help:"print who burns which service-level budget, and why"`
 	Check     *checkCommand     `arg:"subcommand:check" help:"check settings files and lists without using them"`
 	Version   *versionCommand   `arg:"subcommand:version" help:"print the version of the tool"`
--- a/cmd/sycamoreramp/script_test.go
+++ b/cmd/sycamoreramp/script_test.go
@@ -24,6 +24,8 @@
 	"sycamoreramp.example/sycamoreramp/internal/golden"
 	"sycamoreramp.example/sycamoreramp/internal/script"
 	"sycamoreramp.example/sycamoreramp/internal/standin"
+	"sycamoreramp.example/sycamoreramp/operator"
+	"sycamoreramp.example/sycamoreramp/platform"
 	"sycamoreramp.example/sycamoreramp/settings"
 )
 
@@ -40,7 +42,7 @@
 		Setup:         startFleet,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"exits": script.Exits, "scrub": scrub, "behave": behave, "settle": settle,
-			"fetch": fetch,
+			"fetch": fetch, "edge": startEdge, "request": request,
 		},
 	})
 }
@@ -55,6 +57,7 @@
 	{regexp.MustCompile(`(operation=(search|read) .*attempts=)[1-9]\d*`), "${1}N"}, // a slow machine hedges
 	{regexp.MustCompile(`127\.[\d.]+:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`\b[0-9a-f]{16}-\d+`), "INCARNATION-N"},
+	{regexp.MustCompile(`\b[0-9a-f]{16}\b`), "INCARNATION"},
 	{regexp.MustCompile(`-?\b\d+(\.\d+)?(ns|µs|ms|s)\b`), "DURATION"},
 	{regexp.MustCompile(` {2,}`), "  "},
 }
@@ -111,6 +114,86 @@
 	ts.Check(os.WriteFile(ts.MkAbs("fetched"), body, 0o600))
 }
 
+// edgeConfig is the operator's configuration on the users' platform.
+const edgeConfig = `{"version":7,"backends":[{"name":"prisms","maxConnections":26}],
+	"limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},
+	"routes":[{"name":"all","host":"h.example","pathPrefix":"/all/","type":"idempotent","timeoutMs":900,
+	"targetLatencyMs":400,"gather":["prisms"],"attempts":2,"topK":2,"minCoverage":0.5},
+	{"name":"one","host":"h.example","pathPrefix":"/one/","type":"idempotent","timeoutMs":900,
+	"targetLatencyMs":400,"trafficSplit":[{"backend":"prisms","weight":3},{"backend":"gone","weight":1}],"attempts":1}]}`
+
+// startEdge starts a store and a daemon on the users' platform that writes
+// edge.log, waits until it is ready, and sets the addresses STORE, EDGE and
+// METRICS: edge SETTINGS.
+func startEdge(ts *testscript.TestScript, _ bool, args []string) {
+	store := standin.NewPlatform()
+	server := httptest.NewServer(store.Handler())
+	ts.Defer(server.Close)
+	address := server.Listener.Addr().String()
+	entries := map[string][]byte{"op/config": []byte(edgeConfig)}
+	for _, name := range []string{"prisms-0-0", "prisms-1-0"} {
+		value, err := platform.EncodeInstance(ramp.Instance{
+			Replica: ramp.Replica{ID: name, Address: address, Domain: "d0"}, Service: "prisms",
+			State: ramp.Live, Born: 1, Beat: 1,
+		})
+		ts.Check(err)
+		entries[platform.ReplicaPrefix+name] = value
+	}
+	for key, value := range entries {
+		_, err := store.Swap(context.Background(), key, value, 0, "")
+		ts.Check(err)
+	}
+	host := fmt.Sprintf("127.78.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff|1)
+	text := strings.NewReplacer("HOST", host, "STORE", address).Replace(ts.ReadFile(args[0]))
+	file := ts.MkAbs("edge.toml")
+	ts.Check(os.WriteFile(file, []byte(text), 0o600))
+	load := func() (ramp.Deployment, error) { return platform.LoadSettings(file) }
+	d, err := load()
+	ts.Check(err)
+	log, err := os.Create(ts.MkAbs("edge.log"))
+	ts.Check(err)
+	metrics := net.JoinHostPort(host, "9464")
+	e, err := daemon.NewEdge(d, load, metrics, "/metrics", ramp.SystemClock{}, log, slog.LevelInfo)
+	ts.Check(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = e.Run(ctx, nil)
+		close(ended)
+	}()
+	ts.Defer(func() {
+		cancel()
+		<-ended
+	})
+	ts.Setenv("STORE", address)
+	ts.Setenv("EDGE", d.Callers)
+	ts.Setenv("METRICS", metrics)
+	client := operator.Client{Client: http.DefaultClient}
+	for range 200 {
+		if b, err := client.Belief(ctx, metrics); err == nil && b.Version == 7 && len(b.Replicas) == 2 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("the daemon does not know the configuration and the replicas")
+}
+
+// request sends a GET request to a daemon on the users' platform and checks the
+// status: request STATUS ADDRESS HOST PATH.
+func request(ts *testscript.TestScript, _ bool, args []string) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+args[1]+args[3], nil)
+	ts.Check(err)
+	r.Host = args[2]
+	r.Header.Set("X-Request-Id", "id-"+args[3])
+	r.Header.Set("X-Deadline-Ms", "800")
+	response, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	defer response.Body.Close()
+	if strconv.Itoa(response.StatusCode) != args[0] {
+		ts.Fatalf("status %d, want %s", response.StatusCode, args[0])
+	}
+}
+
 type clusterKey struct{}
 
 // startFleet starts a platform, a service of four shards, and the daemons d1
@@ -120,11 +203,11 @@
 	if err := cluster.Start("127.0.0.1", standin.Service{Name: "prisms", Shards: 4, Replicas: 1, Slots: 4}); err != nil {
 		return err
 	}
-	platform := httptest.NewServer(cluster.Handler())
+	store := httptest.NewServer(cluster.Handler())
 	ctx, cancel := context.WithCancel(context.Background())
 	env.Defer(cancel)
 	env.Values[clusterKey{}] = cluster
-	address := platform.Listener.Addr().String()
+	address := store.Listener.Addr().String()
 	env.Setenv("PLATFORM", address)
 	for _, name := range []string{"d1", "d2"} {
 		caller, err := startDaemon(ctx, env.WorkDir, name, address)
--- a/cmd/sycamoreramp/status.go
+++ b/cmd/sycamoreramp/status.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/url"
 	"strings"
 	"text/tabwriter"
@@ -20,6 +21,7 @@
 type fleetFlags struct {
 	Platform   string   `arg:"--platform,env:SYCAMORERAMP_PLATFORM" help:"IP number and port of the platform"`
 	Daemons    []string `arg:"--daemons,env:SYCAMORERAMP_DAEMONS" help:"daemons to ask when the platform does not answer"`
+	Port       string   `arg:"--port" placeholder:"N" help:"port that serves operators, where it is not that for callers"`
 	Credential string   `arg:"--credential,env:SYCAMORERAMP_OPERATOR" help:"the operators' credential"`
 }
 
@@ -32,7 +34,7 @@
 		registry := platform.Registry{Store: platform.NewClient(f.Platform)}
 		daemons, _, err = registry.WatchDaemons(ctx, 0, 0)
 		if err == nil {
-			return daemons, nil
+			return f.withPort(daemons), nil
 		}
 	}
 	daemons := make([]ramp.Daemon, 0, len(f.Daemons))
@@ -45,6 +47,19 @@
 	return daemons, nil
 }
 
+// withPort returns the daemons with the port for operators in their addresses.
+func (f fleetFlags) withPort(daemons []ramp.Daemon) []ramp.Daemon {
+	if f.Port == "" {
+		return daemons
+	}
+	for i, d := range daemons {
+		if host, _, err := net.SplitHostPort(d.Caller); err == nil {
+			daemons[i].Caller = net.JoinHostPort(host, f.Port)
+		}
+	}
+	return daemons
+}
+
 func (f fleetFlags) client(t tool) operator.Client {
 	return operator.Client{Credential: f.Credential, Client: t.client}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -162,13 +162,9 @@
 
 func (d *Daemon) status() operator.Status {
 	lists, confirmed := d.lists.Current()
-	age := "never"
-	if !confirmed.IsZero() {
-		age = d.clock.Now().Sub(confirmed).Round(time.Millisecond).String()
-	}
 	return operator.Status{
-		Daemon: d.self.ID, Version: lists.Version, Edit: lists.Edit, Age: age, Leaving: d.isLeaving(),
-		Running: int(d.running.Load()),
+		Daemon: d.self.ID, Version: lists.Version, Edit: lists.Edit, Leaving: d.isLeaving(),
+		Age: operator.AgeText(d.clock.Now().Sub(confirmed), !confirmed.IsZero()), Running: int(d.running.Load()),
 	}
 }
 
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -14,7 +14,9 @@
 
 	ramp "sycamoreramp.example/sycamoreramp"
 	"sycamoreramp.example/sycamoreramp/backend"
+	"sycamoreramp.example/sycamoreramp/burn"
 	"sycamoreramp.example/sycamoreramp/fleet"
+	"sycamoreramp.example/sycamoreramp/operator"
 	"sycamoreramp.example/sycamoreramp/peer"
 	"sycamoreramp.example/sycamoreramp/platform"
 	"sycamoreramp.example/sycamoreramp/query"
@@ -66,7 +68,9 @@
 	routes     *fleet.Routes
 	members    *fleet.Members
 	instances  *replica.Instances
+	picker     *replica.Picker
 	metrics    *metrics
+	burns      *burn.Ledger
 	idle       *idlers
 	servers    []server
 	leaving    chan struct{} // closed when the daemon starts to leave
@@ -96,8 +100,9 @@
 		self: ramp.Daemon{ID: d.Name, Incarnation: incarnation, Domain: d.Domain, Caller: d.Callers, Peer: d.Daemons},
 		pool: ramp.NewPool(edgeWorkers, edgeQueue), news: ramp.NewPool(newsWorkers, newsQueue),
 		peers: peer.NewClient("", clock), routes: fleet.NewRoutes(), instances: replica.NewInstances(clock),
-		metrics: newMetrics(), leaving: make(chan struct{}),
+		metrics: newMetrics(), burns: burn.NewLedger(clock), leaving: make(chan struct{}),
 	}
+	e.picker = replica.NewPicker(e.instances, d.Domain, clock)
 	e.setSeeds(d)
 	e.members = fleet.NewMembers(e.self, clock)
 	store := platform.NewClient(d.Store)
@@ -119,13 +124,13 @@
 	d := e.deployment
 	relay := &query.Relay{
 		Clock: e.clock, Log: e.log, Pool: e.pool, Routes: e.routes,
-		Picker: replica.NewPicker(e.instances, d.Domain, e.clock),
+		Picker: e.picker,
 		Repeater: retry.NewRepeats(retry.Bounds{
 			Ratio: d.RepeatRatio, Slack: d.RepeatSlack, Window: d.RepeatWindow,
 		}, e.observer.Fleet, e.clock),
 		Exchange:  backend.NewExchanger(platform.Framing{}, e.clock),
 		Collector: e.peers, Helpers: fleet.NewHelpers(e.members, e.clock),
-		Members: e.observer.Fleet, Margin: edgeMargin, Observe: e.metrics.ObserveDelivery,
+		Members: e.observer.Fleet, Margin: edgeMargin, Observe: e.observe,
 	}
 	e.peer.WithCollector(relay.Init())
 	front := platform.Front{Asker: relay, Routes: e.routes, Leaving: e.isLeaving}
@@ -139,6 +144,8 @@
 	if metricsAddress != "" {
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET "+metricsPath, e.metrics.EdgeHandler(e.state))
+		mux.HandleFunc("GET /burn", operator.BurnHandler(e.burns.Report))
+		mux.HandleFunc("GET /belief", operator.BeliefHandler(e.belief))
 		e.serve(metricsAddress, mux)
 	}
 }
@@ -220,6 +227,22 @@
 	}
 }
 
+// observe takes in every message of a caller.
+func (e *Edge) observe(d ramp.Delivery, err error) {
+	e.metrics.ObserveDelivery(d, err)
+	e.burns.ObserveDelivery(d, err)
+}
+
+// belief returns what the daemon takes to be true.
+func (e *Edge) belief() operator.Belief {
+	b := operator.Belief{
+		Daemon: e.self.ID, Incarnation: e.self.Incarnation, Domain: e.self.Domain, Leaving: e.isLeaving(),
+		Revision: e.observer.Mirror.Revision(), Age: operator.AgeText(e.observer.Age()),
+	}
+	routing, _ := e.routes.Current()
+	return b.WithRouting(routing).WithReplicas(e.picker.Views()).WithDaemons(e.members.Views())
+}
+
 // state returns what the metrics show.
 func (e *Edge) state() edgeState {
 	routing, _ := e.routes.Current()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -149,8 +149,8 @@
 func (m *metrics) Close() error { return m.closer.Close() }
 
 // ObserveDelivery counts a message and its attempts.
-func (m *metrics) ObserveDelivery(_ ramp.Message, d ramp.Delivery, err error) {
-	route := m.nameTag(d.Route)
+func (m *metrics) ObserveDelivery(d ramp.Delivery, err error) {
+	route := m.nameTag(d.Route.Name)
 	m.scope.Tagged(map[string]string{tagRoute: route, tagOutcome: deliveryOutcome(d, err)}).Counter("messages").Inc(1)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Counter("missing_parts").Inc(int64(d.Missing))
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -120,6 +120,20 @@
 	return m.those(func(member) bool { return true })
 }
 
+// Views returns what this daemon takes to be true of each member, sorted by id.
+func (m *Members) Views() []ramp.DaemonView {
+	now := m.clock.Now()
+	var views []ramp.DaemonView
+	m.members.Each(func(_ string, other member) bool {
+		views = append(views, ramp.DaemonView{
+			Daemon: other.daemon, Heard: now.Sub(other.seen), Missed: other.missed,
+		})
+		return true
+	})
+	slices.SortFunc(views, func(a, b ramp.DaemonView) int { return compareDaemons(a.Daemon, b.Daemon) })
+	return views
+}
+
 // Find returns the member with the given incarnation.
 func (m *Members) Find(incarnation string) (ramp.Daemon, bool) {
 	found, ok := m.members.Get(incarnation)
@@ -169,9 +183,7 @@
 		}
 		return true
 	})
-	slices.SortFunc(all, func(a, b ramp.Daemon) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+	slices.SortFunc(all, compareDaemons)
 	return all
 }
 
--- a/message.go
+++ b/message.go
@@ -42,6 +42,13 @@
 // Succeeded reports whether the status tells of success.
 func (r Response) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
 
+// firstFailure is the lowest status that speaks of a failure of the replica.
+const firstFailure = 500
+
+// Failed reports whether the status tells of a failure of the replica. A response
+// may be neither a success nor a failure: a request that is wrong gets one.
+func (r Response) Failed() bool { return r.Status >= firstFailure }
+
 // WithStamp returns the response with the replica's signature.
 func (r Response) WithStamp(stamp string) Response {
 	r.Stamp = stamp
--- a/operator/status.go
+++ b/operator/status.go
@@ -26,6 +26,18 @@
 	Running int    `json:"running"` // requests in progress
 }
 
+// ageUnit is the unit of ages and times that daemons report.
+const ageUnit = time.Millisecond
+
+// AgeText returns how daemons report the age of the last word from the store, if
+// there was one.
+func AgeText(age time.Duration, known bool) string {
+	if !known {
+		return "never"
+	}
+	return age.Round(ageUnit).String()
+}
+
 // Server serves operators on a daemon. It refuses calls without the operators'
 // credential.
 type Server struct {
--- a/query.go
+++ b/query.go
@@ -130,6 +130,7 @@
 	NotRun    bool          // the backend server stated that it did not run
 	Hop       bool          // another daemon was asked to make it
 	Connected bool          // a new connection was opened for it
+	Grounds   Grounds       // why the replica was picked, where a [Picker] did it
 }
 
 // WithOutcome returns the attempt as it ended.
--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -192,13 +192,13 @@
 		p.giveUp(index)
 		return
 	}
-	instance, footing, ok := p.relay.Picker.Pick(state.service, state.attempts)
+	instance, grounds, ok := p.relay.Picker.Pick(state.service, state.attempts)
 	if !ok {
 		p.giveUp(index)
 		return
 	}
-	a := p.attempt(state.service, kind, instance)
-	if kind == ramp.Hedge && footing != ramp.Sound || state.sent() > 0 && !p.relay.Repeater.Allow(state.service) {
+	a := p.attempt(state.service, kind, instance, grounds)
+	if kind == ramp.Hedge && grounds.Footing != ramp.Sound || state.sent() > 0 && !p.relay.Repeater.Allow(state.service) {
 		p.relay.Picker.Done(a.WithOutcome(ramp.Cancelled, 0, false))
 		p.giveUp(index)
 		return
@@ -206,10 +206,12 @@
 	p.send(index, a, instance)
 }
 
-func (p *pursuit) attempt(service string, kind ramp.AttemptKind, i ramp.Instance) ramp.Attempt {
+func (p *pursuit) attempt(
+	service string, kind ramp.AttemptKind, i ramp.Instance, grounds ramp.Grounds,
+) ramp.Attempt {
 	return ramp.Attempt{
 		Number: int(p.numbers.Add(1)) - 1, Kind: kind, Shard: ramp.Shard{ID: service}, Replica: i.Replica,
-		Started: p.elapsed(), Outcome: ramp.Pending,
+		Started: p.elapsed(), Outcome: ramp.Pending, Grounds: grounds,
 	}
 }
 
@@ -283,15 +285,12 @@
 		return a.WithOutcome(ramp.Failed, elapsed, true)
 	}
 	a.Connected = response.Connected
-	if response.Succeeded() || !p.route.Gathered() && response.Status < serverErrors {
+	if response.Succeeded() || !p.route.Gathered() && !response.Failed() {
 		return a.WithOutcome(ramp.Merged, elapsed, true)
 	}
 	return a.WithOutcome(ramp.Failed, elapsed, true)
 }
 
-// serverErrors is the first status that speaks of a failure of the replica.
-const serverErrors = 500
-
 // tell passes the outcome of an attempt on. The time is scaled by what is typical
 // of the route.
 func (p *pursuit) tell(a ramp.Attempt) {
@@ -305,7 +304,8 @@
 	default:
 		p.relay.Log.Info("attempt failed", "request", p.message.ID, "route", p.route.Name, "service", a.Shard.ID,
 			"replica", a.Replica.ID, "kind", a.Kind, "outcome", a.Outcome, "sent", a.Sent, "unrun", a.NotRun,
-			"connected", a.Connected, "elapsed", a.Elapsed)
+			"connected", a.Connected, "elapsed", a.Elapsed, "footing", a.Grounds.Footing, "among", a.Grounds.Among,
+			"expected", a.Grounds.Expected, "age", a.Grounds.Age)
 	}
 }
 
--- a/query/relay.go
+++ b/query/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"strconv"
@@ -33,10 +34,10 @@
 	Repeater  ramp.Repeater
 	Exchange  ramp.Exchanger
 	Collector ramp.Collector
-	Helpers   ramp.Helpers                                     // nil to ask all replicas directly
-	Members   func() int                                       // daemons that share the connections to replicas
-	Margin    time.Duration                                    // kept back of an objective for the way to the caller
-	Observe   func(m ramp.Message, d ramp.Delivery, err error) // called once for each message
+	Helpers   ramp.Helpers                     // nil to ask all replicas directly
+	Members   func() int                       // daemons that share the connections to replicas
+	Margin    time.Duration                    // kept back of an objective for the way to the caller
+	Observe   func(d ramp.Delivery, err error) // called once for each message
 
 	splits atomic.Uint64                      // messages on split routes so far
 	waits  *ramp.Table[string, time.Duration] // longest wait that a caller stated, by route
@@ -66,7 +67,7 @@
 	started := r.Clock.Now()
 	delivery, err := r.ask(ctx, m, limit, started)
 	delivery.Elapsed = r.Clock.Now().Sub(started)
-	r.Observe(m, delivery, err)
+	r.Observe(delivery, err)
 	r.log(m, delivery, limit, err)
 	return delivery, err
 }
@@ -80,19 +81,20 @@
 	}
 	path, _, _ := strings.Cut(m.Target, "?")
 	route, found := routing.Match(m.Host, path)
-	delivery := ramp.Delivery{Route: route.Name, Version: routing.Version}
+	delivery := ramp.Delivery{Route: route, Version: routing.Version}
 	switch {
 	case !found:
 		return delivery, &ramp.RefusedError{Reason: ramp.ReasonRoute, Ran: ramp.NotRun}
 	case routing.Limits.Body > 0 && len(m.Body) > routing.Limits.Body:
 		return delivery, &ramp.RefusedError{Reason: ramp.ReasonSize, Ran: ramp.NotRun}
 	}
+	delivery.Age = r.age(route.Name, limit)
 	deadline := started.Add(route.Timeout)
 	if limit > 0 && limit < route.Timeout {
 		deadline = started.Add(limit)
 	}
 	p := r.newPursuit(ctx, m, route, routing, started, deadline)
-	p.age = r.age(route.Name, limit)
+	p.age = delivery.Age
 	defer p.cancel()
 	return p.run(ctx, delivery)
 }
@@ -112,8 +114,8 @@
 // log writes the account of a message on one line.
 func (r *Relay) log(m ramp.Message, d ramp.Delivery, limit time.Duration, err error) {
 	attributes := []any{
-		"request", m.ID, "route", d.Route, "version", d.Version, "limit", limit, "elapsed", d.Elapsed,
-		"attempts", len(d.Attempts), "repeats", repeats(d.Attempts),
+		"request", m.ID, "route", d.Route.Name, "version", d.Version, "limit", limit, "waited", d.Age,
+		"elapsed", d.Elapsed, "attempts", len(d.Attempts), "repeats", repeats(d.Attempts),
 	}
 	if refused := asRelayed(err); refused != nil {
 		attributes = append(attributes, "ran", refused.Ran, "reason", refused.Reason, "detail", refused.Detail)
@@ -125,7 +127,7 @@
 	} else {
 		attributes = append(attributes, "status", d.Response.Status)
 	}
-	if d.Missing > 0 || !d.Gathered() && len(d.Attempts) > 1 {
+	if d.Missing > 0 || d.Overdue() || !d.Gathered() && len(d.Attempts) > 1 {
 		attributes = append(attributes, "account", account(d.Attempts))
 	}
 	r.Log.Info("request answered", attributes...)
@@ -141,11 +143,15 @@
 	return n
 }
 
+func inMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
 // maxAccount is the number of attempts that a line of the log tells of.
 const maxAccount = 24
 
-// account returns the attempts that did not get their reply into the answer, in
-// short: kind, service, replica, start, time and outcome of each.
+// account returns the attempts that did not get their reply into the answer or
+// that were repeats, in short: kind, service, replica, start, time and outcome of
+// each, and what its replica was picked by: footing, number of candidates, the
+// time expected until the reply, and the age of the entry.
 func account(attempts []ramp.Attempt) string {
 	var b strings.Builder
 	told := 0
@@ -162,13 +168,16 @@
 			b.WriteByte(' ')
 		}
 		for _, s := range []string{
-			string(a.Kind), a.Shard.ID, a.Replica.ID, strconv.FormatInt(a.Started.Milliseconds(), 10),
-			strconv.FormatInt(a.Elapsed.Milliseconds(), 10),
+			string(a.Kind), a.Shard.ID, a.Replica.ID, inMillis(a.Started), inMillis(a.Elapsed), string(a.Outcome),
 		} {
 			b.WriteString(s)
 			b.WriteByte('/')
 		}
-		b.WriteString(string(a.Outcome))
+		if g := a.Grounds; g.Among > 0 {
+			fmt.Fprintf(&b, "%s/%d/%s/%s", g.Footing, g.Among, inMillis(g.Expected), inMillis(g.Age))
+		} else {
+			b.WriteByte('-')
+		}
 	}
 	return b.String()
 }
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"regexp"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -71,7 +72,7 @@
 		Clock: clock, Log: slog.New(slog.DiscardHandler), Pool: ramp.NewPool(64, 64), Routes: routes,
 		Picker:   replica.NewPicker(instances, "", clock),
 		Repeater: retry.NewRepeats(retry.Bounds{Ratio: 1, Slack: 100, Window: time.Second}, one, clock),
-		Exchange: s, Members: one, Margin: 10 * time.Millisecond, Observe: func(ramp.Message, ramp.Delivery, error) {},
+		Exchange: s, Members: one, Margin: 10 * time.Millisecond, Observe: func(ramp.Delivery, error) {},
 	}
 	return relay.Init()
 }
@@ -186,6 +187,43 @@
 	golden.Check(t, "relay", b.String())
 }
 
+// expectedReply is the part of an account that the spread of scores makes random.
+var expectedReply = regexp.MustCompile(`(sound|avoided)/(\d+)/\d+/`)
+
+// TestRelayLog records the lines about messages: what the outcome was, which
+// attempts led to it, and what their replicas were picked by.
+func TestRelayLog(t *testing.T) {
+	var b strings.Builder
+	for _, test := range []struct {
+		name   string
+		route  ramp.Route
+		script script
+		limit  time.Duration
+	}{
+		{"whole", gathered(), script{"a-1": {after: 5 * ms, status: 200}, "b-1": {after: 5 * ms, status: 200}}, 0},
+		{"partial", gathered(), script{"a-1": {after: 5 * ms, status: 200}, "b-1": {after: ms, status: 500}}, 0},
+		{"late", gathered(), script{"a-1": {after: 300 * ms, status: 200}, "b-1": {after: 320 * ms, status: 200}}, 0},
+		{"refused", single(false), script{"a-1": {after: ms, fails: ramp.Shed, unrun: true}}, 700 * ms},
+		{"unknown", single(false), script{"a-1": {after: ms, fails: ramp.Unreachable}}, 700 * ms},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			relay := newRelay(test.script, test.route)
+			fmt.Fprintf(&b, "%s:\n", test.name)
+			relay.Log = slog.New(slog.NewTextHandler(&b, &slog.HandlerOptions{
+				ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+					if a.Key == slog.TimeKey || a.Key == "expected" {
+						return slog.Attr{}
+					}
+					return a
+				},
+			}))
+			_, _ = relay.Ask(t.Context(), ramp.Message{ID: "m", Target: "/x"}, test.limit)
+			relay.Pool.Close()
+		})
+	}
+	golden.Check(t, "relaylog", expectedReply.ReplaceAllString(b.String(), "$1/$2/EXPECTED/"))
+}
+
 // TestFailureAfterMerge fails when a failure that comes after a part is in takes
 // the part's place: found on the grown sites, where an answer then bore the
 // signature of a failure.
--- a/relay.go
+++ b/relay.go
@@ -7,9 +7,9 @@
 
 // Picker chooses replicas of services by the daemon's own attempts.
 type Picker interface {
-	// Pick returns the replica for an attempt, none of those tried, and how it
-	// stands. It counts as busy until Done is called for the attempt.
-	Pick(service string, tried []Attempt) (Instance, Footing, bool)
+	// Pick returns the replica for an attempt, none of those tried, and why it was
+	// picked. It counts as busy until Done is called for the attempt.
+	Pick(service string, tried []Attempt) (Instance, Grounds, bool)
 	// Done tells how an attempt ended.
 	Done(a Attempt)
 	// Domains tells whether the service has a sound replica in the daemon's own
@@ -28,6 +28,14 @@
 	Drained  Footing = "drained"  // it began to drain a moment ago
 )
 
+// Grounds are what a replica was picked by. They are an immutable value.
+type Grounds struct {
+	Footing  Footing       // "" when no picker was asked
+	Among    int           // replicas that could have been picked
+	Expected time.Duration // until a reply, with penalties; the shortest of those on the same footing
+	Age      time.Duration // of the entry that describes the replica
+}
+
 // Repeater bounds the attempts beyond the first over all daemons.
 type Repeater interface {
 	// Arrived counts a caller's request for the service.
@@ -47,7 +55,7 @@
 // Delivery is the answer to a message. It has a response of one replica, or is
 // put together from parts.
 type Delivery struct {
-	Route    string    // name of the route; "" for none
+	Route    Route     // that the message matched; without a name for none
 	Version  uint64    // of the routing under which the message was answered
 	Response Response  // of one replica; of a gathered answer only the body is set
 	Stamps   []string  // signatures of the parts that are in; never modified
@@ -55,6 +63,13 @@
 	Whole    int       // parts that a complete answer has; 1 for a response of one replica
 	Attempts []Attempt // never modified
 	Elapsed  time.Duration
+	Age      time.Duration // for which the caller had been asking before, as far as it can be told
+}
+
+// Overdue reports whether the caller has waited longer than the route's
+// objective.
+func (d Delivery) Overdue() bool {
+	return d.Route.Objective > 0 && d.Age+d.Elapsed > d.Route.Objective
 }
 
 // Gathered reports whether the answer is put together from parts.
@@ -72,6 +87,24 @@
 	Expire() []Instance
 }
 
+// ReplicaView is what a daemon takes to be true of a replica.
+type ReplicaView struct {
+	Instance
+	Footing Footing       // "" when it may get nothing
+	Entry   time.Duration // age of the entry that describes it
+	Busy    int           // attempts in progress
+	Latency time.Duration // moving average over replies; 0 for none yet
+	Trouble float64       // share of failures and refusals among the last outcomes
+	Stalled bool          // a reply is long overdue
+}
+
+// DaemonView is what a daemon takes to be true of another.
+type DaemonView struct {
+	Daemon
+	Heard  time.Duration // age of the last word of it
+	Missed bool          // it did not answer since
+}
+
 // Asker answers callers' messages.
 type Asker interface {
 	// Ask answers a message that the caller waits for up to limit, 0 if it does not
--- a/replica/instances.go
+++ b/replica/instances.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -155,6 +156,19 @@
 	return all
 }
 
+// all returns the replicas of all services, sorted by service and id.
+func (s *Instances) all() []listed {
+	var every []listed
+	s.services.Each(func(_ string, all []listed) bool {
+		every = append(every, all...)
+		return true
+	})
+	slices.SortFunc(every, func(a, b listed) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
+	})
+	return every
+}
+
 func find(all []listed, id string) (int, bool) {
 	return slices.BinarySearchFunc(all, id, func(l listed, id string) int { return strings.Compare(l.ID, id) })
 }
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -159,8 +159,8 @@
 			s.Learn(far)
 			p := NewPicker(s, "d", ramp.SystemClock{})
 			test.play(p, s)
-			i, footing, ok := p.Pick("s", nil)
-			fmt.Fprintf(&b, "%s: %s %s found=%t\n", test.name, i.ID, footing, ok)
+			i, grounds, ok := p.Pick("s", nil)
+			fmt.Fprintf(&b, "%s: %s %s found=%t\n", test.name, i.ID, grounds.Footing, ok)
 		})
 	}
 	golden.Check(t, "pick", b.String())
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -119,31 +119,40 @@
 var standings = map[ramp.Footing]int{ramp.Sound: 0, ramp.Avoided: 1, ramp.Vanished: 2, ramp.Drained: 3}
 
 // Pick implements [ramp.Picker].
-func (p *Picker) Pick(service string, tried []ramp.Attempt) (ramp.Instance, ramp.Footing, bool) {
+func (p *Picker) Pick(service string, tried []ramp.Attempt) (ramp.Instance, ramp.Grounds, bool) {
 	now := p.clock.Now()
 	var best listed
-	var bestFooting ramp.Footing
-	found, lowest := false, 0.0
+	var grounds ramp.Grounds
+	lowest := 0.0
 	for _, l := range p.instances.of(service) {
-		footing, ok := l.footing(now)
+		r := p.of(l)
+		footing, ok := p.footing(l, r, now)
 		if !ok || wasTried(tried, l.ID) {
 			continue
 		}
-		r := p.of(l)
-		if footing == ramp.Sound && r.Avoided(now) {
-			footing = ramp.Avoided
-		}
 		score := p.score(l, r, now)
-		better := standings[footing] < standings[bestFooting] || footing == bestFooting && score < lowest
-		if !found || better {
-			found, best, bestFooting, lowest = true, l, footing, score
+		better := standings[footing] < standings[grounds.Footing] || footing == grounds.Footing && score < lowest
+		if grounds.Among == 0 || better {
+			best, grounds.Footing, lowest = l, footing, score
 		}
+		grounds.Among++
 	}
-	if !found {
-		return ramp.Instance{}, "", false
+	if grounds.Among == 0 {
+		return ramp.Instance{}, ramp.Grounds{}, false
 	}
+	grounds.Expected, grounds.Age = time.Duration(lowest), now.Sub(best.learnt)
 	p.records.Update(best.ID, func(r record) record { return r.placed(best.Instance, now) })
-	return best.Instance, bestFooting, true
+	return best.Instance, grounds, true
+}
+
+// footing returns how the replica stands, or reports false when it may get
+// nothing.
+func (p *Picker) footing(l listed, r record, now time.Time) (ramp.Footing, bool) {
+	footing, ok := l.footing(now)
+	if ok && footing == ramp.Sound && r.Avoided(now) {
+		return ramp.Avoided, true
+	}
+	return footing, ok
 }
 
 // of returns what is known of the replica's present start.
@@ -178,6 +187,26 @@
 	})
 }
 
+// Views returns what the daemon takes to be true of each replica, sorted by
+// service and id.
+func (p *Picker) Views() []ramp.ReplicaView {
+	now := p.clock.Now()
+	listed := p.instances.all()
+	views := make([]ramp.ReplicaView, 0, len(listed))
+	for _, l := range listed {
+		r := p.of(l)
+		footing, ok := p.footing(l, r, now)
+		if !ok {
+			footing = ""
+		}
+		views = append(views, ramp.ReplicaView{
+			Instance: l.Instance, Footing: footing, Entry: now.Sub(l.learnt), Busy: r.Busy, Latency: r.Latency,
+			Trouble: r.troubled(now), Stalled: r.stalled(now),
+		})
+	}
+	return views
+}
+
 // Forget drops what is known of a replica that is gone.
 func (p *Picker) Forget(id string) { p.records.Delete(id) }
 
