fleet: measure the age of the store's word by the steady clock

A step back by 8 s made a daemon that does not watch believe for 8 s longer that others still tell it of the store; a step ahead showed an age that was not. Change: the age counts from the daemon's start, by the steady clock. TestAgesDoNotFollowTheTimeOfDay failed before (fleet/observer.go).

--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -49,7 +49,7 @@
 	Seeds      func() []ramp.Daemon // daemons to ask while no member is known; only Peer is set
 	Leaving    <-chan struct{}      // closed when the daemon starts to leave
 
-	confirmed  atomic.Int64 // clock time in nanoseconds of the last word from the store, 0 for none
+	confirmed  atomic.Int64 // time from started to the last word from the store, in nanoseconds; 0 for none
 	turn       atomic.Uint64
 	looked     chan struct{} // closed when the store has answered or failed for the first time
 	changes    *ramp.Mutex   // held while a change is taken in
@@ -132,7 +132,7 @@
 // was one.
 func (o *Observer) Age() (time.Duration, bool) {
 	at := o.confirmed.Load()
-	return time.Duration(o.Clock.Now().UnixNano() - at), at != 0
+	return o.Clock.Now().Sub(o.started) - time.Duration(at), at != 0
 }
 
 // watches reports whether this daemon watches the store itself: all do in a
@@ -188,7 +188,7 @@
 
 // confirm notes a word from the store that was asked for at the given time.
 func (o *Observer) confirm(asked time.Time) {
-	at := asked.UnixNano()
+	at := max(1, int64(asked.Sub(o.started)))
 	for old := o.confirmed.Load(); at > old && !o.confirmed.CompareAndSwap(old, at); old = o.confirmed.Load() {
 	}
 }
--- a/imports_test.go
+++ b/imports_test.go
@@ -81,6 +81,26 @@
 	return imports
 }
 
+// TestAgesDoNotFollowTheTimeOfDay fails when a decision measures time by the time
+// of day, which may jump. Burn counts by minutes that several daemons share.
+func TestAgesDoNotFollowTheTimeOfDay(t *testing.T) {
+	for _, dir := range []string{".", "replica", "retry", "plan", "order", "query", "fleet"} {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.HasSuffix(file, "_test.go") && strings.Contains(string(text), ".Unix") {
+				t.Errorf("%s reads the time of day", file)
+			}
+		}
+	}
+}
+
 // platformNames are names that the users' platform gave to fields and calls and
 // that mean nothing elsewhere.
 var platformNames = []string{
