peer: close kept connections that have gone silent

Calls are cancelled without closing their connection, so a connection that passes nothing back goes to the pool again and costs each later call its whole time. Its log told nothing: the timeout of the call hid 'dependency lost'. Change: a connection closes itself when a call fails without a byte from the other side, for streams two in a row; the log tells of a daemon that does not answer. The soak puts a proxy in front of each daemon: the stand-in store rewrites the address that it registers.

--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -181,3 +181,30 @@
 	})
 	golden.Check(t, "removals", b.String())
 }
+
+// mute is peers that never answer.
+type mute struct{ ramp.Peers }
+
+// Exchange implements [ramp.Peers].
+func (mute) Exchange(ctx context.Context, to ramp.Daemon, _ ramp.News) (ramp.News, error) {
+	<-ctx.Done()
+	return ramp.News{}, &ramp.PeerError{Daemon: to.ID, Sent: true, Cause: ctx.Err()}
+}
+
+// TestSilentDaemonIsLost fails when the log does not tell that a daemon has gone
+// silent.
+func TestSilentDaemonIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log strings.Builder
+		self := ramp.Daemon{ID: "a", Incarnation: "a1"}
+		o := &Observer{
+			Clock: ramp.SystemClock{}, Log: slog.New(slog.NewTextHandler(&log, nil)), Self: self, Peers: mute{},
+			Mirror: NewMirror(ramp.SystemClock{}), Members: NewMembers(self, ramp.SystemClock{}),
+		}
+		o.Init()
+		o.exchange(t.Context(), ramp.Daemon{ID: "b", Incarnation: "b1", Peer: "b:1"})
+		if !strings.Contains(log.String(), `msg="dependency lost" dependency="daemon b:1"`) {
+			t.Errorf("log: %s", log.String())
+		}
+	})
+}
--- a/fleet/tell.go
+++ b/fleet/tell.go
@@ -93,10 +93,10 @@
 
 // exchange asks another daemon for what this one lacks.
 func (o *Observer) exchange(ctx context.Context, to ramp.Daemon) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	started := o.Clock.Now()
-	reply, err := o.Peers.Exchange(ctx, to, o.news())
+	reply, err := o.Peers.Exchange(limited, to, o.news())
 	if ctx.Err() == nil || err == nil {
 		o.reached("daemon "+to.Peer, err)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -162,7 +162,7 @@
 	w.mutex.Lock()
 	r := w.replicas[s.random.IntN(len(w.replicas))]
 	w.mutex.Unlock()
-	faults := slices.Concat(w.ofDaemon(d), w.ofStore(d), ofReplica(r))
+	faults := slices.Concat(w.ofDaemon(d), w.ofStore(d), ofPeers(d), ofReplica(r))
 	f := faults[s.random.IntN(len(faults))]
 	return f.name, f.play
 }
@@ -212,6 +212,16 @@
 	}
 }
 
+// ofPeers returns what may happen to the way of other daemons to a daemon.
+func ofPeers(d *process) []fault {
+	return []fault{
+		{"peers refused by " + d.name, through(d.peers, mode{refuse: true})},
+		{"peers silent to " + d.name, through(d.peers, mode{mute: true})},
+		{"peers deaf to " + d.name, through(d.peers, mode{deaf: true})},
+		{"peers far from " + d.name, through(d.peers, mode{delay: 80 * time.Millisecond})},
+	}
+}
+
 // ofReplica returns what may happen to a replica, and to the way to it.
 func ofReplica(r *replica) []fault {
 	return []fault{
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,11 +11,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"sycamoreramp.example/sycamoreramp/internal/standin"
+	"sycamoreramp.example/sycamoreramp/platform"
 )
 
 // Sizes of a run.
@@ -156,7 +160,8 @@
 	name   string
 	ip     string
 	zone   string
-	store  *proxy
+	store  *proxy     // on its way to the store
+	peers  *proxy     // on the way of other daemons to it
 	turn   sync.Mutex // held from stopping the process until it runs again
 	mutex  sync.Mutex // guards the fields below
 	cmd    *exec.Cmd
@@ -169,7 +174,7 @@
 const settingsFile = `nodeName = %q
 ip = %q
 zone = %q
-seeds = ["127.%d.1.1:8106", "127.%d.1.2:8106"]
+seeds = [%q, %q]
 [bindAddrs]
 front = "%[2]s:8104"
 readiness = "%[2]s:8108"
@@ -289,18 +294,37 @@
 		if p.store, err = newProxy(w.host, listener.Addr().String()); err != nil {
 			return nil, err
 		}
-		text := fmt.Sprintf(settingsFile, p.name, p.ip, p.zone, octet, octet, p.store.address())
+		if p.peers, err = newProxy(w.host, p.ip+":8106"); err != nil {
+			return nil, err
+		}
+		w.daemons = append(w.daemons, p)
+	}
+	w.store.Rewrite = w.throughProxies
+	seeds := []any{w.daemons[0].peers.address(), w.daemons[min(1, daemons-1)].peers.address()}
+	for _, p := range w.daemons {
+		text := fmt.Sprintf(settingsFile, slices.Concat([]any{p.name, p.ip, p.zone}, seeds, []any{p.store.address()})...)
 		if err := os.WriteFile(p.settings(), []byte(text), 0o600); err != nil {
 			return nil, err
 		}
 		if err := p.start(); err != nil {
 			return nil, err
 		}
-		w.daemons = append(w.daemons, p)
 	}
 	return w, nil
 }
 
+// throughProxies makes daemons register the proxies in front of them, so that
+// others reach them only there.
+func (w *world) throughProxies(key string, value []byte) []byte {
+	if !strings.HasPrefix(key, platform.DaemonPrefix) {
+		return value
+	}
+	for _, p := range w.daemons {
+		value = bytes.ReplaceAll(value, []byte(`"`+p.ip+`:8106"`), []byte(`"`+p.peers.address()+`"`))
+	}
+	return value
+}
+
 // shardSet returns the services of the n-th partition of the index.
 func (w *world) shardSet(n int) []string {
 	set := make([]string, 0, shards)
@@ -316,6 +340,7 @@
 		p.signal(syscall.SIGCONT)
 		p.stop(syscall.SIGKILL)
 		p.store.close()
+		p.peers.close()
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -42,6 +42,10 @@
 type Store struct {
 	*Client
 
+	// Rewrite changes values as they are written; nil for none. It is set before the
+	// first call.
+	Rewrite func(key string, value []byte) []byte
+
 	clock    ramp.Clock
 	mutex    sync.Mutex
 	keys     map[string][]version // oldest version first
@@ -186,7 +190,11 @@
 		if _, ok := s.leases[leaseID]; leaseID != "" && !ok {
 			return &ramp.NotFoundError{Key: leaseID}
 		}
-		next = s.put(version{Entry: ramp.Entry{Key: key, Value: slices.Clone(value)}, lease: leaseID})
+		value = slices.Clone(value)
+		if s.Rewrite != nil {
+			value = s.Rewrite(key, value)
+		}
+		next = s.put(version{Entry: ramp.Entry{Key: key, Value: value}, lease: leaseID})
 		return nil
 	})
 	return next, err
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -8,7 +8,6 @@
 	"net"
 	"time"
 
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
@@ -72,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(connection, drpcconn.Options{Manager: managed}), nil
+	return newConn(connection), nil
 }
 
 // dialler opens connections for one call and notes when that failed, so that
