query: wait a moment for a replica with room

Ruled out: hedges that wait for slow replies. Change: replicas without room are no candidates, and a part that finds only such looks again for up to a quarter of the objective. TestWaitsForRoom failed before.

--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -16,6 +16,12 @@
 // again.
 const sweepShare = 3
 
+// Bounds of waiting for a replica with room.
+const (
+	roomPause = 4 * time.Millisecond // until the next look; a reply takes 5 to 20 ms
+	roomShare = 4                    // part of the objective for which a part waits; longer is a late refusal
+)
+
 // normalTime is the time to which replies of different routes are scaled, so that
 // they say the same of a replica.
 const normalTime = 10 * time.Millisecond
@@ -192,9 +198,11 @@
 		p.giveUp(index)
 		return
 	}
-	instance, grounds, ok := p.relay.Picker.Pick(state.service, state.attempts)
+	instance, grounds, ok := p.relay.Picker.Pick(state.service, state.attempts, p.connections(state.service))
 	if !ok {
-		p.giveUp(index)
+		if grounds.Full == 0 || !p.later(index, kind) {
+			p.giveUp(index)
+		}
 		return
 	}
 	a := p.attempt(state.service, kind, instance, grounds)
@@ -206,6 +214,16 @@
 	p.send(index, a, instance)
 }
 
+// later lets a worker try again in a moment, when a replica may have room. It
+// reports false when that would be too late.
+func (p *pursuit) later(index int, kind ramp.AttemptKind) bool {
+	if p.elapsed() > p.route.Objective/roomShare || p.context.Err() != nil {
+		return false
+	}
+	p.relay.Clock.AfterFunc(roomPause, func() { p.submit(index, kind) })
+	return true
+}
+
 func (p *pursuit) attempt(
 	service string, kind ramp.AttemptKind, i ramp.Instance, grounds ramp.Grounds,
 ) ramp.Attempt {
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -261,6 +262,51 @@
 	return f.script.Exchange(ctx, c)
 }
 
+// narrow has one connection to each replica.
+type narrow struct {
+	script
+	mutex sync.Mutex
+	busy  map[string]bool // by replica id
+}
+
+// Exchange implements [ramp.Exchanger].
+func (n *narrow) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
+	n.mutex.Lock()
+	taken := n.busy[c.Instance.ID]
+	n.busy[c.Instance.ID] = true
+	n.mutex.Unlock()
+	if taken {
+		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Unstarted}
+	}
+	defer func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		delete(n.busy, c.Instance.ID)
+	}()
+	return n.script.Exchange(ctx, c)
+}
+
+// TestWaitsForRoom fails when a part is given up because the connections to its
+// replicas are in use for a moment: found on the grown sites, where a daemon has
+// one connection to each.
+func TestWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		relay := newRelay(script{"a-1": {after: 30 * ms, status: 200}}, single(true))
+		relay.Exchange = &narrow{script: relay.Exchange.(script), busy: map[string]bool{}}
+		var asked sync.WaitGroup
+		for range 3 {
+			asked.Go(func() {
+				d, err := relay.Ask(t.Context(), ramp.Message{ID: "m", Target: "/x"}, 0)
+				is.NoErr(err)
+				is.Equal(d.Response.Status, 200)
+			})
+		}
+		asked.Wait()
+		relay.Pool.Close()
+	})
+}
+
 // TestRequestsThatRunOnceGoOn fails when a caller that leaves stops a message
 // that may run only once.
 func TestRequestsThatRunOnceGoOn(t *testing.T) {
--- a/relay.go
+++ b/relay.go
@@ -7,9 +7,10 @@
 
 // Picker chooses replicas of services by the daemon's own attempts.
 type Picker interface {
-	// Pick returns the replica for an attempt, none of those tried, and why it was
-	// picked. It counts as busy until Done is called for the attempt.
-	Pick(service string, tried []Attempt) (Instance, Grounds, bool)
+	// Pick returns the replica for an attempt, none of those tried and none that has
+	// as many attempts in progress as it has room for, and why it was picked. It
+	// counts as busy until Done is called for the attempt.
+	Pick(service string, tried []Attempt, room int) (Instance, Grounds, bool)
 	// Done tells how an attempt ended.
 	Done(a Attempt)
 	// Domains tells whether the service has a sound replica in the daemon's own
@@ -32,6 +33,7 @@
 type Grounds struct {
 	Footing  Footing       // "" when no picker was asked
 	Among    int           // replicas that could have been picked
+	Full     int           // replicas that had no room
 	Expected time.Duration // until a reply, with penalties; the shortest of those on the same footing
 	Age      time.Duration // of the entry that describes the replica
 }
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -129,6 +129,7 @@
 		a := ramp.Attempt{Replica: ramp.Replica{ID: id, Address: id + ":1"}}
 		return a.WithOutcome(outcome, elapsed, true)
 	}
+	const room = 9
 	tests := []struct {
 		name string
 		play func(p *Picker, s *Instances)
@@ -162,6 +163,17 @@
 			p.records.Update("near", func(r record) record { return r.placed(instance("near", 1, 1, ramp.Live), time.Now()) })
 			p.Done(done("near", ramp.Misdirected, time.Millisecond))
 		}},
+		{"not one without room", func(p *Picker, _ *Instances) {
+			for range room {
+				p.records.Update("near", func(r record) record { return r.placed(instance("near", 1, 1, ramp.Live), time.Now()) })
+			}
+		}},
+		{"none without room", func(p *Picker, _ *Instances) {
+			for range room {
+				p.records.Update("near", func(r record) record { return r.placed(instance("near", 1, 1, ramp.Live), time.Now()) })
+				p.records.Update("far", func(r record) record { return r.placed(instance("far", 1, 1, ramp.Live), time.Now()) })
+			}
+		}},
 		{"not one whose entry vanished", func(_ *Picker, s *Instances) { s.Vanish("near") }},
 		{"one that drains when there is no other", func(_ *Picker, s *Instances) {
 			s.Learn(instance("near", 1, 2, ramp.Leaving))
@@ -186,7 +198,7 @@
 			s.Learn(far)
 			p := NewPicker(s, "d", ramp.SystemClock{})
 			test.play(p, s)
-			i, grounds, ok := p.Pick("s", nil)
+			i, grounds, ok := p.Pick("s", nil, room)
 			fmt.Fprintf(&b, "%s: %s %s found=%t\n", test.name, i.ID, grounds.Footing, ok)
 		})
 	}
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -119,7 +119,7 @@
 var standings = map[ramp.Footing]int{ramp.Sound: 0, ramp.Avoided: 1, ramp.Vanished: 2, ramp.Drained: 3}
 
 // Pick implements [ramp.Picker].
-func (p *Picker) Pick(service string, tried []ramp.Attempt) (ramp.Instance, ramp.Grounds, bool) {
+func (p *Picker) Pick(service string, tried []ramp.Attempt, room int) (ramp.Instance, ramp.Grounds, bool) {
 	now := p.clock.Now()
 	var best listed
 	var grounds ramp.Grounds
@@ -130,6 +130,10 @@
 		if !ok || wasTried(tried, l.ID) {
 			continue
 		}
+		if r.Busy >= room {
+			grounds.Full++
+			continue
+		}
 		score := p.score(l, r, now)
 		better := standings[footing] < standings[grounds.Footing] || footing == grounds.Footing && score < lowest
 		if grounds.Among == 0 || better {
@@ -138,7 +142,7 @@
 		grounds.Among++
 	}
 	if grounds.Among == 0 {
-		return ramp.Instance{}, ramp.Grounds{}, false
+		return ramp.Instance{}, grounds, false
 	}
 	grounds.Expected, grounds.Age = time.Duration(lowest), now.Sub(best.learnt)
 	p.records.Update(best.ID, func(r record) record { return r.placed(best.Instance, now) })
