--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -89,7 +89,8 @@
 	d := ramp.Deployment{
 		Name: "edge-1", Domain: "z", IP: p.host, Store: p.server.Listener.Addr().String(),
 		Callers: p.host + ":8104", Directory: p.host + ":8100", Readiness: p.host + ":8108", Daemons: p.host + ":8106",
-		Bound: 3 * time.Second, Drain: 3 * time.Second, Grace: 3 * time.Second, AddressLife: 5 * time.Second, RepeatRatio: 0.2, RepeatSlack: 20,
+		Bound: 3 * time.Second, Drain: 3 * time.Second, Grace: 3 * time.Second, AddressLife: 5 * time.Second,
+		RepeatRatio: 0.2, RepeatSlack: 20,
 		RepeatWindow: 10 * time.Second,
 	}
 	e, err := daemon.NewEdge(d, func() (ramp.Deployment, error) { return d, nil }, p.host+":9464", "/metrics",
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -17,7 +17,7 @@
 	observeRest  = time.Second            // longest pause after failed calls; they are priced like others
 	tellPeriod   = 400 * time.Millisecond // between exchanges with other daemons
 	tellTimeout  = 500 * time.Millisecond
-	silentAfter  = 2500 * time.Millisecond // age of the last word from the store at which a daemon watches by itself, at most
+	silentAfter  = 2500 * time.Millisecond // age of the store's last word at which a daemon watches by itself, at most
 	silentShare  = 5.0 / 6                 // of the bound; the rest is for its own call
 	smallFleet   = 8                       // daemons up to which every one watches
 	heardLife    = 3 * time.Second         // for which a daemon that the store does not list counts after its last word
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -74,7 +74,8 @@
 	collect := func(c *Client, to ramp.Daemon) error {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
-		return c.Collect(ctx, to, ramp.Collection{Services: []string{"s"}, Deadline: time.Now().Add(limit)}, func(ramp.Batch) {})
+		wanted := ramp.Collection{Services: []string{"s"}, Deadline: time.Now().Add(limit)}
+		return c.Collect(ctx, to, wanted, func(ramp.Batch) {})
 	}
 	exchange := func(c *Client, to ramp.Daemon) error {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
