--- a/query/pursuit.go
+++ b/query/pursuit.go
@@ -200,8 +200,8 @@
 	}
 	instance, grounds, ok := p.relay.Picker.Pick(state.service, state.attempts, p.connections(state.service))
 	if !ok {
-		if grounds.Full == 0 || !p.later(index, kind) {
-			p.giveUp(index)
+		if kind == ramp.Hedge || grounds.Full == 0 || !p.later(index, kind) {
+			p.giveUp(index) // unless an attempt is pending; the sweep comes back to hedges
 		}
 		return
 	}
@@ -214,8 +214,8 @@
 	p.send(index, a, instance)
 }
 
-// later lets a worker try again in a moment, when a replica may have room. It
-// reports false when that would be too late.
+// later lets a worker try a part without a pending attempt again in a moment,
+// when a replica may have room. It reports false when that would be too late.
 func (p *pursuit) later(index int, kind ramp.AttemptKind) bool {
 	if p.elapsed() > p.route.Objective/roomShare || p.context.Err() != nil {
 		return false
