--- a/cmd/sycamoreramp/script_test.go
+++ b/cmd/sycamoreramp/script_test.go
@@ -122,6 +122,10 @@
 	{"name":"one","host":"h.example","pathPrefix":"/one/","type":"idempotent","timeoutMs":900,
 	"targetLatencyMs":400,"trafficSplit":[{"backend":"prisms","weight":3},{"backend":"gone","weight":1}],"attempts":1}]}`
 
+// registered is the revision of a store with the configuration, two replicas, and
+// the lease and the entry of a daemon.
+const registered = 5
+
 // startEdge starts a store and a daemon on the users' platform that writes
 // edge.log, waits until it is ready, and sets the addresses STORE, EDGE and
 // METRICS: edge SETTINGS.
@@ -143,7 +147,7 @@
 		_, err := store.Swap(context.Background(), key, value, 0, "")
 		ts.Check(err)
 	}
-	host := fmt.Sprintf("127.78.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff|1)
+	host := fmt.Sprintf("127.78.%d.%d", os.Getpid()/256%256, os.Getpid()%256)
 	text := strings.NewReplacer("HOST", host, "STORE", address).Replace(ts.ReadFile(args[0]))
 	file := ts.MkAbs("edge.toml")
 	ts.Check(os.WriteFile(file, []byte(text), 0o600))
@@ -170,12 +174,12 @@
 	ts.Setenv("METRICS", metrics)
 	client := operator.Client{Client: http.DefaultClient}
 	for range 200 {
-		if b, err := client.Belief(ctx, metrics); err == nil && b.Version == 7 && len(b.Replicas) == 2 {
+		if b, err := client.Belief(ctx, metrics); err == nil && b.Version == 7 && b.Revision == registered {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	ts.Fatalf("the daemon does not know the configuration and the replicas")
+	ts.Fatalf("the daemon does not know the configuration, the replicas and itself")
 }
 
 // request sends a GET request to a daemon on the users' platform and checks the
@@ -184,6 +188,7 @@
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+args[1]+args[3], nil)
 	ts.Check(err)
 	r.Host = args[2]
+	r.Close = true
 	r.Header.Set("X-Request-Id", "id-"+args[3])
 	r.Header.Set("X-Deadline-Ms", "800")
 	response, err := http.DefaultClient.Do(r)
