--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -68,11 +68,12 @@
 		m.scope.Tagged(tags).Counter("missing").Inc(int64(1e6 * float64(missing) / float64(requested)))
 	}
 	for i := range answer.Attempts {
-		m.countAttempt(&answer.Attempts[i])
+		m.ObserveAttempt(answer.Attempts[i])
 	}
 }
 
-func (m *metrics) countAttempt(a *ramp.Attempt) {
+// ObserveAttempt counts an attempt that has ended.
+func (m *metrics) ObserveAttempt(a ramp.Attempt) {
 	m.scope.Tagged(map[string]string{
 		"kind": string(a.Kind), tagOutcome: string(a.Outcome),
 	}).Counter("attempts").Inc(1)
@@ -151,15 +152,12 @@
 // Close reports the counters a last time.
 func (m *metrics) Close() error { return m.closer.Close() }
 
-// ObserveRelay counts a message and its attempts.
+// ObserveRelay counts a message. Its attempts are counted as they end.
 func (m *metrics) ObserveRelay(d ramp.RelayResult, err error) {
 	route := m.boundedTag(d.Route.Name)
 	m.scope.Tagged(map[string]string{tagRoute: route, tagOutcome: relayOutcome(d, err)}).Counter("messages").Inc(1)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Counter("missing_parts").Inc(int64(d.MissingParts))
-	for i := range d.Attempts {
-		m.countAttempt(&d.Attempts[i])
-	}
 }
 
 // relayOutcome returns "whole", "partial", "passed" for a replica's response without
--- a/query/execution.go
+++ b/query/execution.go
@@ -326,6 +326,7 @@
 // picker, and logs failures. The latency that the picker gets is scaled by the
 // median latency of the route.
 func (e *execution) reportOutcome(a ramp.Attempt) {
+	e.relay.ObserveAttempt(a)
 	e.relay.Budget.Observe(e.route.Name, a)
 	if e.medianLatency > 0 {
 		a.Elapsed = time.Duration(float64(a.Elapsed) * float64(referenceLatency) / float64(e.medianLatency))
--- a/query/relay.go
+++ b/query/relay.go
@@ -27,18 +27,19 @@
 // answer merged from the parts of many. It does not depend on how messages are
 // encoded. All fields must be set before Init.
 type Relay struct {
-	Clock       ramp.Clock
-	Log         *slog.Logger
-	Pool        *ramp.Pool
-	Routes      ramp.RoutingSource
-	Picker      ramp.Picker
-	Budget      ramp.RetryBudget
-	Exchanger   ramp.Exchanger
-	Collector   ramp.Collector
-	Delegates   ramp.DelegateSelector               // nil to send to all replicas directly
-	FleetSize   func() int                          // returns how many daemons share the connections to replicas
-	ReplyMargin time.Duration                       // part of a route's objective that is reserved for sending the answer
-	Observe     func(d ramp.RelayResult, err error) // called once for each message
+	Clock          ramp.Clock
+	Log            *slog.Logger
+	Pool           *ramp.Pool
+	Routes         ramp.RoutingSource
+	Picker         ramp.Picker
+	Budget         ramp.RetryBudget
+	Exchanger      ramp.Exchanger
+	Collector      ramp.Collector
+	Delegates      ramp.DelegateSelector               // nil to send to all replicas directly
+	FleetSize      func() int                          // returns how many daemons share the connections to replicas
+	ReplyMargin    time.Duration                       // part of a route's objective that is reserved for sending the answer
+	Observe        func(d ramp.RelayResult, err error) // called once for each message
+	ObserveAttempt func(a ramp.Attempt)                // called once for each attempt of this daemon that has ended
 
 	splitCount   atomic.Uint64                      // messages on split routes so far
 	longestWaits *ramp.Table[string, time.Duration] // longest wait that any caller stated, by route
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -74,6 +74,7 @@
 		Picker:    replica.NewPicker(instances, "", clock),
 		Budget:    retry.NewFleetBudget(retry.Bounds{Ratio: 1, Slack: 100, Window: time.Second}, one, clock),
 		Exchanger: s, FleetSize: one, ReplyMargin: 10 * time.Millisecond, Observe: func(ramp.RelayResult, error) {},
+		ObserveAttempt: func(ramp.Attempt) {},
 	}
 	return relay.Init()
 }
