replica: send nothing to an address that another replica has

Cause: both replicas of a shard had gone silent while the store was away, so their entries stayed, and the address of one went to a replica of another shard. That one answered 421. The picker ranked the lost replica last, for 5 s, but went on to pick it whenever no better one was left, for first attempts, retries and parts collected for other daemons alike. A request reaches every shard of its route, so each of these arrivals was a second one at the shard that has the address; no budget counted them. Besides, the attempt after such a one was charged as a repeat of a service that it was the first to reach.

Change: 421 says for certain that a start of a replica has lost its address. Its statistics keep that, and the picker sends it nothing until its entry is written again, for 30 s at most. An attempt that reached another service counts neither as a repeat nor among the attempts of the route.

--- a/query/part.go
+++ b/query/part.go
@@ -100,11 +100,13 @@
 	return n
 }
 
-// sentCount returns the number of attempts that may have reached a replica.
+// sentCount returns the number of attempts that may have reached a replica of the
+// service.
 func (p part) sentCount() int {
 	n := 0
 	for i := range p.attempts {
-		if p.attempts[i].Sent || p.attempts[i].Outcome == ramp.Pending {
+		a := &p.attempts[i]
+		if a.Outcome == ramp.Pending || a.Sent && a.Outcome != ramp.Misdirected {
 			n++
 		}
 	}
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -138,6 +138,12 @@
 		a := ramp.Attempt{Replica: ramp.Replica{ID: id, Address: id + ":1"}}
 		return a.WithOutcome(outcome, elapsed, true)
 	}
+	displace := func(p *Picker, id string) {
+		p.stats.Update(id, func(s replicaStats) replicaStats {
+			return s.withAttempt(instance(id, 1, 1, ramp.Live), time.Now())
+		})
+		p.Done(endedAttempt(id, ramp.Misdirected, time.Millisecond))
+	}
 	const room = 9
 	tests := []struct {
 		name    string
@@ -176,11 +182,31 @@
 			}
 			s.Update(instance("near", 2, 1, ramp.Live))
 		}},
-		{"address belongs to another replica", func(p *Picker, _ *Instances) {
-			p.stats.Update("near", func(s replicaStats) replicaStats {
-				return s.withAttempt(instance("near", 1, 1, ramp.Live), time.Now())
-			})
-			p.Done(endedAttempt("near", ramp.Misdirected, time.Millisecond))
+		{"address belongs to another replica", func(p *Picker, _ *Instances) { displace(p, "near") }},
+		{"addresses of all replicas belong to others", func(p *Picker, _ *Instances) {
+			displace(p, "near")
+			displace(p, "far")
+		}},
+		{"entry written again after another replica answered", func(p *Picker, s *Instances) {
+			displace(p, "near")
+			displace(p, "far")
+			time.Sleep(time.Second)
+			s.Update(instance("near", 1, 2, ramp.Live))
+		}},
+		{"entry deleted after another replica answered", func(p *Picker, s *Instances) {
+			displace(p, "near")
+			displace(p, "far")
+			s.MarkRemoved("near")
+		}},
+		{"restart after another replica answered", func(p *Picker, s *Instances) {
+			displace(p, "near")
+			displace(p, "far")
+			s.Update(instance("near", 2, 1, ramp.Live))
+		}},
+		{"long after another replica answered", func(p *Picker, _ *Instances) {
+			displace(p, "near")
+			displace(p, "far")
+			time.Sleep(displacedLife)
 		}},
 		{"preferred replica saturated", func(p *Picker, _ *Instances) {
 			for range room {
--- a/replica/load.go
+++ b/replica/load.go
@@ -71,9 +71,6 @@
 		}
 	case ramp.Unreachable, ramp.Expired, ramp.Truncated, ramp.Mismatched, ramp.Failed:
 		l = l.withFailure(now)
-	case ramp.Misdirected:
-		l = l.withFailure(now)
-		l.AvoidUntil = now.Add(maxBackoff)
 	}
 	return l
 }
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -30,6 +30,10 @@
 	maxHealthyFailureRatio = 0.25            // from which another failure domain is asked instead
 )
 
+// displacedLife is how long a replica gets no requests after another replica answered at
+// its address, unless its entry is written again. It bounds the effect of a wrong answer.
+const displacedLife = 30 * time.Second
+
 // latencyJitter is the random share added to expected latencies, so that daemons with
 // the same information do not all pick the same replica.
 const latencyJitter = 0.1
@@ -43,6 +47,7 @@
 	lastProgress   time.Time // last reply or refusal, or when an attempt was placed on the idle replica
 	failureRatio   float64   // moving average of failures and refusals among the outcomes
 	failureRatioAt time.Time // when failureRatio was last updated
+	displacedAt    time.Time // when another replica last answered at the address; zero for never
 }
 
 // forStart returns the statistics if they belong to the given start of the replica, and
@@ -78,10 +83,18 @@
 	case ramp.Shed, ramp.Failed, ramp.Truncated, ramp.Mismatched, ramp.Unreachable, ramp.Expired:
 		s.failureRatio = s.currentFailureRatio(now)*(1-failureSmoothing) + failureSmoothing
 		s.failureRatioAt = now
+	case ramp.Misdirected:
+		s.displacedAt = now
 	}
 	return s
 }
 
+// displaced reports whether the replica's address belongs to another replica, as far as
+// is known. A later entry of the replica refutes it.
+func (s replicaStats) displaced(r registration, now time.Time) bool {
+	return !s.displacedAt.IsZero() && !r.readAt.After(s.displacedAt) && now.Sub(s.displacedAt) < displacedLife
+}
+
 // currentFailureRatio returns the failure ratio, decayed since its last update.
 func (s replicaStats) currentFailureRatio(now time.Time) float64 {
 	if s.failureRatio == 0 {
@@ -154,9 +167,12 @@
 	return best.Instance, info, true
 }
 
-// health returns the replica's health by its registration and its circuit breaker. It
-// reports false when the replica must get no requests.
+// health returns the replica's health by its registration, its circuit breaker and the
+// owner of its address. It reports false when the replica must get no requests.
 func (p *Picker) health(r registration, s replicaStats, now time.Time) (ramp.Health, bool) {
+	if s.displaced(r, now) {
+		return "", false
+	}
 	health, ok := r.health(now)
 	if ok && health == ramp.HealthOK && s.Avoided(now) {
 		return ramp.HealthSuspect, true
@@ -224,10 +240,8 @@
 func (p *Picker) Domains(service string) (near bool, others []string) {
 	now := p.clock.Now()
 	for _, r := range p.instances.ofService(service) {
-		if health, ok := r.health(now); !ok || health != ramp.HealthOK {
-			continue
-		}
-		if !p.statsOf(r).healthy(now) {
+		s := p.statsOf(r)
+		if health, ok := p.health(r, s, now); !ok || health != ramp.HealthOK || !s.healthy(now) {
 			continue
 		}
 		if r.Domain == p.domain {
