replica: keep the rate limits that replicas name

Cause: no code read the header. What a replica says of itself in an answer had no place among the inputs of the choice of a replica.

A part waits for its turn for at most a quarter of the objective, then it is left out, or the request is refused as not run with the time at which a replica takes it.

Ruled out: retries and hedges alone (the first attempts exceed the limit).

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -107,7 +107,6 @@
 		peers: peer.NewClient("", clock), routes: fleet.NewRoutes(), instances: replica.NewInstances(d.DrainBound, clock),
 		metrics: newMetrics(), burnRates: burn.NewRecorder(clock), leaving: make(chan struct{}),
 	}
-	e.picker = replica.NewPicker(e.instances, d.Domain, clock)
 	e.setSeeds(d)
 	e.members = fleet.NewMembers(e.self, clock)
 	store := platform.NewClient(d.StoreAddress)
@@ -118,6 +117,8 @@
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
 	}
 	e.observer.Init()
+	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
+	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock)
 	e.peerServer = peer.NewServer(edgePeerHandler{e.observer}, "", clock)
 	e.idleCloser = newIdleCloser(e.routes, clock)
 	e.newServers(metricsAddress, metricsPath)
--- a/errors.go
+++ b/errors.go
@@ -47,8 +47,9 @@
 	Sent    bool    // a byte of the request may have reached the backend server
 	Cause   error   // may be nil
 
-	NotRun        bool // the backend server stated that the request did not run
-	NewConnection bool // a new connection was opened for it
+	NotRun        bool     // the backend server stated that the request did not run
+	NewConnection bool     // a new connection was opened for it
+	Signals       *Signals // what the replica said of itself; nil without a response of it
 }
 
 // Error implements error.
--- a/message.go
+++ b/message.go
@@ -33,10 +33,11 @@
 // Response is what a replica sent for a call.
 type Response struct {
 	Status        int
-	Fields        []Field // fields to forward; those of one name keep their order; never modified
-	Stamp         string  // the replica's signature; "" for none
-	Body          []byte  // whole; never modified
-	NewConnection bool    // a new connection was opened for it
+	Fields        []Field  // fields to forward; those of one name keep their order; never modified
+	Stamp         string   // the replica's signature; "" for none
+	Body          []byte   // whole; never modified
+	NewConnection bool     // a new connection was opened for it
+	Signals       *Signals // what the replica said of itself; nil until the response was checked
 }
 
 // Succeeded reports whether the status is a success.
@@ -55,6 +56,12 @@
 	return r
 }
 
+// WithSignals returns the response with what the replica said of itself.
+func (r Response) WithSignals(s Signals) Response {
+	r.Signals = &s
+	return r
+}
+
 // Exchanger sends calls to replicas.
 type Exchanger interface {
 	// Exchange sends the call once and returns the whole response, checked against
--- a/operator/belief.go
+++ b/operator/belief.go
@@ -56,6 +56,10 @@
 	Latency      string  `json:"latency"`
 	FailureRatio float64 `json:"trouble"` // share of recent attempts that failed or were refused
 	Stalled      bool    `json:"stalled"`
+
+	RateLimit *float64 `json:"limit,omitempty"` // requests per second that it accepts from all daemons
+	Share     float64  `json:"share,omitempty"` // requests per second that this daemon may send under the limit
+	SaidAge   string   `json:"said,omitempty"`  // age of what it last said of itself
 }
 
 // DaemonView is the daemon's view of another daemon.
@@ -100,11 +104,16 @@
 		if health == "" {
 			health = noHealth
 		}
-		b.Replicas = append(b.Replicas, ReplicaView{
+		encoded := ReplicaView{
 			Replica: v.ID, Service: v.Service, Address: v.Address, Domain: v.Domain, State: string(v.State),
 			Health: health, EntryAge: v.EntryAge.Round(ageUnit).String(), InFlight: v.InFlight,
 			Latency: v.Latency.Round(ageUnit).String(), FailureRatio: v.FailureRatio, Stalled: v.Stalled,
-		})
+		}
+		if v.Signals.Limited {
+			encoded.RateLimit, encoded.Share = &v.Signals.RateLimit, v.Share
+			encoded.SaidAge = v.SignalsAge.Round(ageUnit).String()
+		}
+		b.Replicas = append(b.Replicas, encoded)
 	}
 	return b
 }
@@ -151,10 +160,10 @@
 			r.Timeout, r.Objective, r.services())
 	}
 	fmt.Fprintln(table)
-	fmt.Fprintln(table, "REPLICA\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tFOOTING\tENTRY\tBUSY\tLATENCY\tTROUBLE\tSTALLED")
+	fmt.Fprintln(table, "REPLICA\tSERVICE\tADDRESS\tDOMAIN\tSTATE\tFOOTING\tENTRY\tBUSY\tLATENCY\tTROUBLE\tSTALLED\tSAYS")
 	for _, r := range b.Replicas {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%.2f\t%t\n", r.Replica, r.Service, r.Address, r.Domain,
-			r.State, r.Health, r.EntryAge, r.InFlight, r.Latency, r.FailureRatio, r.Stalled)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%.2f\t%t\t%s\n", r.Replica, r.Service, r.Address,
+			r.Domain, r.State, r.Health, r.EntryAge, r.InFlight, r.Latency, r.FailureRatio, r.Stalled, r.says())
 	}
 	fmt.Fprintln(table)
 	fmt.Fprintln(table, "DAEMON\tINCARNATION\tDOMAIN\tHEARD\tMISSED\tLEAVING")
@@ -165,6 +174,14 @@
 	return table.Flush()
 }
 
+// says returns a short text of what the replica said of itself, or "-".
+func (r ReplicaView) says() string {
+	if r.RateLimit == nil {
+		return "-"
+	}
+	return fmt.Sprintf("limit %g (share %.2g) %s ago", *r.RateLimit, r.Share, r.SaidAge)
+}
+
 // services returns a short text that names the services behind the route.
 func (r RouteView) services() string {
 	if len(r.Gather) > 0 {
--- a/query.go
+++ b/query.go
@@ -132,6 +132,7 @@
 	Delegated     bool          // delegated to another daemon
 	NewConnection bool          // a new connection was opened for it
 	Pick          PickInfo      // how the replica was picked; zero without a [Picker]
+	Signals       *Signals      // what the replica said of itself; nil without a response of it
 }
 
 // WithOutcome returns the attempt with its outcome.
--- a/query/delegation_test.go
+++ b/query/delegation_test.go
@@ -170,7 +170,7 @@
 			Replica: ramp.Replica{ID: id, Address: id, Domain: where}, Service: name, State: ramp.Live,
 		})
 	}
-	relay.Picker, relay.Exchanger = replica.NewPicker(instances, domain, relay.Clock), exchange
+	relay.Picker, relay.Exchanger = newPicker(instances, domain, relay.Clock), exchange
 	return relay
 }
 
--- a/query/execution.go
+++ b/query/execution.go
@@ -208,7 +208,8 @@
 	}
 	instance, pick, ok := e.relay.Picker.Pick(state.service, state.attempts, e.connectionShare(state.service))
 	if !ok {
-		if kind == ramp.Hedge || pick.Saturated == 0 || !e.retryForCapacity(index, kind) {
+		if kind == ramp.Hedge || !e.retryForCapacity(index, kind, pick) {
+			e.parts.Update(index, func(s part) part { return s.withDelay(pick.Delay) })
 			e.giveUp(index) // no effect with a pending attempt; hedgeSlowParts tries a hedge again
 		}
 		return
@@ -223,14 +224,20 @@
 	e.send(index, a, instance)
 }
 
-// retryForCapacity submits an attempt again after capacityRetryDelay, for a
-// part without a pending attempt whose replicas are all saturated. It reports
-// false when the part has waited too long.
-func (e *execution) retryForCapacity(index int, kind ramp.AttemptKind) bool {
-	if e.elapsed() > e.route.Objective/capacityWaitDivisor || e.context.Err() != nil {
+// retryForCapacity submits an attempt again, for a part without a pending attempt
+// whose replicas are all saturated or throttled: after capacityRetryDelay, or
+// when the first throttled replica accepts requests. It reports false when the
+// part would wait too long.
+func (e *execution) retryForCapacity(index int, kind ramp.AttemptKind, pick ramp.PickInfo) bool {
+	delay := pick.Delay
+	if pick.Saturated > 0 {
+		delay = capacityRetryDelay
+	}
+	limit := e.route.Objective / capacityWaitDivisor
+	if pick.Saturated+pick.Throttled == 0 || e.elapsed() > limit || delay > limit || e.context.Err() != nil {
 		return false
 	}
-	e.relay.Clock.AfterFunc(capacityRetryDelay, func() { e.submit(index, kind) })
+	e.relay.Clock.AfterFunc(delay, func() { e.submit(index, kind) })
 	return true
 }
 
@@ -310,12 +317,12 @@
 	var failed *ramp.AttemptError
 	switch {
 	case errors.As(err, &failed):
-		a.NewConnection, a.NotRun = failed.NewConnection, failed.NotRun
+		a.NewConnection, a.NotRun, a.Signals = failed.NewConnection, failed.NotRun, failed.Signals
 		return a.WithOutcome(failed.Outcome, elapsed, failed.Sent)
 	case err != nil:
 		return a.WithOutcome(ramp.Failed, elapsed, true)
 	}
-	a.NewConnection = response.NewConnection
+	a.NewConnection, a.Signals = response.NewConnection, response.Signals
 	if response.Succeeded() || !e.route.Gathered() && !response.Failed() {
 		return a.WithOutcome(ramp.Merged, elapsed, true)
 	}
@@ -380,7 +387,7 @@
 	slices.SortFunc(r.Attempts, func(a, b ramp.Attempt) int { return cmp.Compare(a.Number, b.Number) })
 	r.TotalParts = e.partCount
 	if callerLeft {
-		return r, e.refuse(ramp.ReasonCaller, mayHaveRun)
+		return r, e.refuse(ramp.ReasonCaller, mayHaveRun, states)
 	}
 	if e.route.Gathered() {
 		return e.mergeParts(r, states, mayHaveRun)
@@ -389,7 +396,7 @@
 		r.Response = s.response
 		return r, nil
 	}
-	return r, e.refuse(e.refusalReason(), mayHaveRun)
+	return r, e.refuse(e.refusalReason(), mayHaveRun, states)
 }
 
 // close closes all parts and returns their final states. No batch is merged
@@ -418,7 +425,7 @@
 	r.MissingParts = e.partCount - len(r.Stamps)
 	if len(r.Stamps) < e.quorum {
 		r.Stamps = nil
-		return r, e.refuse(e.refusalReason(), mayHaveRun)
+		return r, e.refuse(e.refusalReason(), mayHaveRun, states)
 	}
 	r.Response.Body = topRecords(bodies, e.route.TopK)
 	return r, nil
@@ -435,11 +442,32 @@
 
 // refuse returns a refusal, with a time to retry after if the message cannot
 // have run.
-func (e *execution) refuse(reason ramp.Reason, mayHaveRun bool) error {
+func (e *execution) refuse(reason ramp.Reason, mayHaveRun bool, states []part) error {
 	if mayHaveRun {
 		return &ramp.RefusedError{Reason: reason, Ran: ramp.RanUnknown}
 	}
-	return &ramp.RefusedError{Reason: reason, Ran: ramp.NotRun, RetryAfter: refusalRetryAfter}
+	return &ramp.RefusedError{
+		Reason: reason, Ran: ramp.NotRun, RetryAfter: max(refusalRetryAfter, e.quorumDelay(states)),
+	}
+}
+
+// quorumDelay returns the time until replicas accept requests for enough of the
+// parts that were not received to reach the quorum.
+func (e *execution) quorumDelay(states []part) time.Duration {
+	needed := e.quorum
+	var delays []time.Duration
+	for _, s := range states {
+		if s.merged {
+			needed--
+		} else {
+			delays = append(delays, s.delay)
+		}
+	}
+	if needed <= 0 || len(delays) == 0 {
+		return 0
+	}
+	slices.Sort(delays)
+	return delays[min(needed, len(delays))-1]
 }
 
 // findRefusal returns the refusal that err wraps, or nil.
--- a/query/misdirected_test.go
+++ b/query/misdirected_test.go
@@ -103,7 +103,7 @@
 		served := 0
 		for i := range 10 {
 			// A picker without statistics, so that either replica may be the first.
-			relay.Picker = replica.NewPicker(instancesOf(script, relay), "", relay.Clock)
+			relay.Picker = newPicker(instancesOf(script, relay), "", relay.Clock)
 			if _, err := relay.Handle(t.Context(), ramp.Message{ID: fmt.Sprint("m", i), Target: "/x"}, 0); err == nil {
 				served++
 			}
--- a/query/relay.go
+++ b/query/relay.go
@@ -37,7 +37,7 @@
 	Collector      ramp.Collector
 	Delegates      ramp.DelegateSelector               // nil to send to all replicas directly
 	FleetSize      func() int                          // returns how many daemons share the connections to replicas
-	ReplyMargin    time.Duration                       // part of a route's objective that is reserved for sending the answer
+	ReplyMargin    time.Duration                       // part of a route's objective reserved for sending the answer
 	Observe        func(d ramp.RelayResult, err error) // called once for each message
 	ObserveAttempt func(a ramp.Attempt)                // called once for each attempt of this daemon that has ended
 
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -58,6 +58,13 @@
 	return ramp.Response{Status: a.status, Stamp: "stamp-" + c.Instance.Service, Body: []byte(a.body)}, nil
 }
 
+// newPicker returns the picker of a daemon that is alone.
+func newPicker(instances *replica.Instances, domain string, clock ramp.Clock) *replica.Picker {
+	self := ramp.Daemon{ID: "self", Incarnation: "self", Domain: domain}
+	shares := fleet.LimitShares{Self: self, Members: fleet.NewMembers(self, clock), FleetSize: func() int { return 1 }}
+	return replica.NewPicker(instances, domain, shares, slog.New(slog.DiscardHandler), clock)
+}
+
 // newRelay returns a relay over the replicas of the script. The id of a replica
 // begins with the name of its service.
 func newRelay(s script, route ramp.Route) *query.Relay {
@@ -71,7 +78,7 @@
 	one := func() int { return 1 }
 	relay := &query.Relay{
 		Clock: clock, Log: slog.New(slog.DiscardHandler), Pool: ramp.NewPool(64, 64), Routes: routes,
-		Picker:    replica.NewPicker(instances, "", clock),
+		Picker:    newPicker(instances, "", clock),
 		Budget:    retry.NewFleetBudget(retry.Bounds{Ratio: 1, Slack: 100, Window: time.Second}, one, clock),
 		Exchanger: s, FleetSize: one, ReplyMargin: 10 * time.Millisecond, Observe: func(ramp.RelayResult, error) {},
 		ObserveAttempt: func(ramp.Attempt) {},
@@ -342,3 +349,61 @@
 		relay.Pool.Close()
 	})
 }
+
+// limiting makes replicas name a rate limit in each response. It implements
+// [ramp.Exchanger].
+type limiting struct {
+	script
+	limits map[string]float64 // by replica id
+}
+
+// Exchange implements [ramp.Exchanger].
+func (l limiting) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
+	r, err := l.script.Exchange(ctx, c)
+	limit, limited := l.limits[c.Instance.ID]
+	return r.WithSignals(ramp.Signals{Limited: limited, RateLimit: limit}), err
+}
+
+// TestRelayUnderRateLimits records what callers get while replicas accept fewer requests
+// than they send: an answer without the part, or at once a
+// refusal that says when to return.
+func TestRelayUnderRateLimits(t *testing.T) {
+	ok := behaviour{delay: 5 * ms, status: 200, body: record1}
+	all := gathered()
+	all.MinCoverage = 1
+	tests := []struct {
+		name   string
+		route  ramp.Route
+		script script
+		limits map[string]float64
+	}{
+		{"single response", single(true), script{"a-1": ok}, map[string]float64{"a-1": 2}},
+		{"single response, wait is short", single(true), script{"a-1": ok}, map[string]float64{"a-1": 20}},
+		{"not idempotent", single(false), script{"a-1": ok}, map[string]float64{"a-1": 2}},
+		{"another replica has no limit", single(true), script{"a-1": ok, "a-2": ok}, map[string]float64{"a-1": 2}},
+		{"one part, the quorum suffices", gathered(), script{"a-1": ok, "b-1": ok}, map[string]float64{"a-1": 2}},
+		{"one part, no quorum", all, script{"a-1": ok, "b-1": ok}, map[string]float64{"a-1": 2}},
+		{"all parts, no quorum", all, script{"a-1": ok, "b-1": ok}, map[string]float64{"a-1": 2, "b-1": 0.5}},
+	}
+	var b strings.Builder
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			relay := newRelay(test.script, test.route)
+			relay.Exchanger = limiting{test.script, test.limits}
+			fmt.Fprintf(&b, "%s:\n", test.name)
+			for i := range 4 {
+				d, err := relay.Handle(t.Context(), ramp.Message{ID: fmt.Sprint("m", i), Target: "/x"}, 0)
+				var refused *ramp.RefusedError
+				if errors.As(err, &refused) {
+					fmt.Fprintf(&b, "    refused ran=%s within=%s retry after=%s\n",
+						refused.Ran, d.Elapsed.Round(ms), refused.RetryAfter.Round(10*ms))
+				} else {
+					fmt.Fprintf(&b, "    answered within=%s missing=%d\n", d.Elapsed.Round(ms), d.MissingParts)
+				}
+				time.Sleep(10 * ms)
+			}
+			relay.Pool.Close()
+		})
+	}
+	golden.Check(t, "ratelimits", b.String())
+}
--- a/relay.go
+++ b/relay.go
@@ -36,8 +36,21 @@
 	Health          Health        // "" if no picker was used
 	Candidates      int           // number of replicas that could have been picked
 	Saturated       int           // number of replicas at their limit of attempts in flight
+	Throttled       int           // number of replicas that accept no request of this daemon yet
+	Delay           time.Duration // until the first of the throttled replicas accepts one; 0 if there are none
 	ExpectedLatency time.Duration // until a reply, with penalties; the lowest among candidates of equal health
 	EntryAge        time.Duration // age of the replica's entry
+	StartedMillis   int64         // start of the replica, as in its [Instance]
+}
+
+// WithThrottled returns the information with one more replica that accepts no request of
+// this daemon until the delay has passed.
+func (p PickInfo) WithThrottled(delay time.Duration) PickInfo {
+	if p.Throttled == 0 || delay < p.Delay {
+		p.Delay = delay
+	}
+	p.Throttled++
+	return p
 }
 
 // RetryBudget bounds retries and hedges over all daemons.
@@ -100,6 +113,15 @@
 	Latency      time.Duration // moving average over replies; 0 for none yet
 	FailureRatio float64       // share of failures and refusals among recent outcomes
 	Stalled      bool          // an attempt has been without a reply for too long
+	Signals      Signals       // what the replica last said of itself; zero for nothing
+	SignalsAge   time.Duration // age of Signals; 0 for none
+	Share        float64       // requests per second of this daemon under the replica's rate limit, if there is one
+}
+
+// WithSignals returns the view with what the replica said of itself.
+func (v ReplicaView) WithSignals(s Signals, age time.Duration, share float64) ReplicaView {
+	v.Signals, v.SignalsAge, v.Share = s, age, share
+	return v
 }
 
 // DaemonView is a daemon's view of another daemon.
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -132,10 +133,23 @@
 	return fmt.Sprintf("%s usable=%t", health, ok)
 }
 
+// wholeLimits gives this daemon all of every limit. It implements [ramp.LimitSharer].
+type wholeLimits struct{}
+
+// Share implements [ramp.LimitSharer].
+func (wholeLimits) Share(_ ramp.Replica, limit float64) ramp.LimitShare {
+	return ramp.LimitShare{Rate: limit, ProbeInterval: 5 * time.Second}
+}
+
+// newTestPicker returns a picker of a daemon in the failure domain d that is alone.
+func newTestPicker(s *Instances) *Picker {
+	return NewPicker(s, "d", wholeLimits{}, slog.New(slog.DiscardHandler), ramp.SystemClock{})
+}
+
 // TestPick records which replica gets the next attempt.
 func TestPick(t *testing.T) {
 	endedAttempt := func(id string, outcome ramp.Outcome, elapsed time.Duration) ramp.Attempt {
-		a := ramp.Attempt{Replica: ramp.Replica{ID: id, Address: id + ":1"}}
+		a := ramp.Attempt{Replica: ramp.Replica{ID: id, Address: id + ":1"}, Pick: ramp.PickInfo{StartedMillis: 1}}
 		return a.WithOutcome(outcome, elapsed, true)
 	}
 	displace := func(p *Picker, id string) {
@@ -247,7 +261,7 @@
 			far.Domain = "other"
 			s.Update(instance("near", 1, 1, ramp.Live))
 			s.Update(far)
-			p := NewPicker(s, "d", ramp.SystemClock{})
+			p := newTestPicker(s)
 			test.prepare(p, s)
 			i, info, ok := p.Pick("s", nil, room)
 			fmt.Fprintf(&b, "%s: %s %s found=%t\n", test.name, i.ID, info.Health, ok)
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -34,6 +35,10 @@
 // its address, unless its entry is written again. It bounds the effect of a wrong answer.
 const displacedLife = 30 * time.Second
 
+// signalsLogInterval is the least time between two log lines about the signals of a
+// replica, which may change with each response.
+const signalsLogInterval = time.Second
+
 // latencyJitter is the random share added to expected latencies, so that daemons with
 // the same information do not all pick the same replica.
 const latencyJitter = 0.1
@@ -42,12 +47,14 @@
 // attempts. It is an immutable value.
 type replicaStats struct {
 	Load
+	condition
 	startedMillis  int64     // identifies the start; Unix time in milliseconds
 	address        string    // where that start listens
 	lastProgress   time.Time // last reply or refusal, or when an attempt was placed on the idle replica
 	failureRatio   float64   // moving average of failures and refusals among the outcomes
 	failureRatioAt time.Time // when failureRatio was last updated
 	displacedAt    time.Time // when another replica last answered at the address; zero for never
+	loggedAt       time.Time // when a change of the signals was last logged; zero for never
 }
 
 // forStart returns the statistics if they belong to the given start of the replica, and
@@ -67,12 +74,16 @@
 		s.lastProgress = now
 	}
 	s.Load = s.WithPlaced()
+	s.condition = s.withRequest(now)
 	return s
 }
 
 // withOutcome returns the statistics after an attempt ended.
 func (s replicaStats) withOutcome(a ramp.Attempt, now time.Time) replicaStats {
 	s.Load = s.WithDone(a, now)
+	if !a.Sent {
+		s.condition = s.withUnsent(now)
+	}
 	if a.Outcome == ramp.Merged || a.Outcome == ramp.Late || a.Outcome == ramp.Shed {
 		s.lastProgress = now
 	}
@@ -117,16 +128,20 @@
 // daemon's own attempts. It implements [ramp.Picker].
 type Picker struct {
 	clock     ramp.Clock
+	log       *slog.Logger
 	domain    string // this daemon's own failure domain
 	instances *Instances
+	shares    ramp.LimitSharer
 	stats     *ramp.Table[string, replicaStats] // by replica id
 }
 
 // NewPicker returns a picker without statistics. Domain is this daemon's own failure
 // domain.
-func NewPicker(instances *Instances, domain string, clock ramp.Clock) *Picker {
+func NewPicker(
+	instances *Instances, domain string, shares ramp.LimitSharer, log *slog.Logger, clock ramp.Clock,
+) *Picker {
 	return &Picker{
-		clock: clock, domain: domain, instances: instances,
+		clock: clock, log: log, domain: domain, instances: instances, shares: shares,
 		stats: ramp.NewTable[string, replicaStats](ramp.RankReplicas),
 	}
 }
@@ -148,6 +163,10 @@
 		if !ok || wasTried(tried, r.ID) {
 			continue
 		}
+		if delay := s.sendDelay(now); delay > 0 {
+			info = info.WithThrottled(delay)
+			continue
+		}
 		if s.InFlight >= room {
 			info.Saturated++
 			continue
@@ -163,6 +182,7 @@
 		return ramp.Instance{}, info, false
 	}
 	info.ExpectedLatency, info.EntryAge = time.Duration(shortest), now.Sub(best.readAt)
+	info.StartedMillis = best.StartedMillis
 	p.stats.Update(best.ID, func(s replicaStats) replicaStats { return s.withAttempt(best.Instance, now) })
 	return best.Instance, info, true
 }
@@ -206,12 +226,29 @@
 // Done implements [ramp.Picker].
 func (p *Picker) Done(a ramp.Attempt) {
 	now := p.clock.Now()
+	var share ramp.LimitShare
+	if a.Signals != nil && a.Signals.Limited {
+		share = p.shares.Share(a.Replica, a.Signals.RateLimit)
+	}
+	changed := false
 	p.stats.UpdateExisting(a.Replica.ID, func(s replicaStats) replicaStats {
-		if s.address != a.Replica.Address {
+		if s.address != a.Replica.Address || s.startedMillis != a.Pick.StartedMillis {
 			return s // the replica has restarted since
 		}
-		return s.withOutcome(a, now)
+		s = s.withOutcome(a, now)
+		if a.Signals == nil {
+			return s
+		}
+		if changed = s.signals != *a.Signals && now.Sub(s.loggedAt) >= signalsLogInterval; changed {
+			s.loggedAt = now
+		}
+		s.condition = s.withSignals(*a.Signals, share, now)
+		return s
 	})
+	if changed {
+		p.log.Info("replica signals changed", "replica", a.Replica.ID, "service", a.Shard.ID,
+			"limited", a.Signals.Limited, "limit", a.Signals.RateLimit, "share", share.Rate, "ignored", a.Signals.Ignored)
+	}
 }
 
 // Views returns this daemon's view of each replica, sorted by service and id.
@@ -228,7 +265,7 @@
 		views = append(views, ramp.ReplicaView{
 			Instance: r.Instance, Health: health, EntryAge: now.Sub(r.readAt), InFlight: s.InFlight, Latency: s.Latency,
 			FailureRatio: s.currentFailureRatio(now), Stalled: s.stalled(now),
-		})
+		}.WithSignals(s.signals, s.signalsAge(now), s.share.Rate))
 	}
 	return views
 }
@@ -241,7 +278,7 @@
 	now := p.clock.Now()
 	for _, r := range p.instances.ofService(service) {
 		s := p.statsOf(r)
-		if health, ok := p.health(r, s, now); !ok || health != ramp.HealthOK || !s.healthy(now) {
+		if health, ok := p.health(r, s, now); !ok || health != ramp.HealthOK || !s.healthy(now) || s.sendDelay(now) > 0 {
 			continue
 		}
 		if r.Domain == p.domain {
--- /dev/null
+++ b/signals.go
@@ -0,0 +1,44 @@
+package sycamoreramp
+
+import "time"
+
+// Signals are what a replica says of itself in a response. They hold for the start of the
+// replica that sent them, until its next response. It is an immutable value.
+type Signals struct {
+	Limited   bool    // the replica named a rate limit
+	RateLimit float64 // requests per second that it accepts from all daemons together; finite, at least 0
+	Ignored   string  // names of the fields whose values were unusable, separated by spaces; "" for none
+}
+
+// WithRateLimit returns the signals with a rate limit. Of several, the lowest holds.
+func (s Signals) WithRateLimit(perSecond float64) Signals {
+	if !s.Limited || perSecond < s.RateLimit {
+		s.Limited, s.RateLimit = true, perSecond
+	}
+	return s
+}
+
+// WithIgnored returns the signals with the name of a field whose value was unusable.
+func (s Signals) WithIgnored(field string) Signals {
+	if s.Ignored != "" {
+		s.Ignored += " "
+	}
+	s.Ignored += field
+	return s
+}
+
+// LimitShare is a daemon's share of a replica's rate limit. It is an immutable value.
+type LimitShare struct {
+	Rate float64 // requests per second that the daemon may send; 0 for none
+	// ProbeInterval is the time between requests that the daemon may send beyond its rate,
+	// to learn whether the limit still holds. It is positive.
+	ProbeInterval time.Duration
+}
+
+// LimitSharer divides the rate limits of replicas among the daemons.
+type LimitSharer interface {
+	// Share returns this daemon's share when all daemons together may send the replica
+	// limit requests per second. The rates of all daemons add up to at most limit, and
+	// no more daemons than limit have one, unless it is below 1.
+	Share(r Replica, limit float64) LimitShare
+}
