backend: test that a reply with a truncated head is no reply

Operators of systems like ours saw a 200 with an empty or short body after a replica had stopped in the middle of its answer's head.

--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -128,6 +128,16 @@
 			false,
 			func(c net.Conn, id string) bool { write(c, ok(id, "body")[:len(ok(id, "body"))-2]); return false },
 		},
+		{
+			"truncated head",
+			false,
+			func(c net.Conn, id string) bool { write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Le"); return false },
+		},
+		{
+			"head without its empty line",
+			false,
+			func(c net.Conn, id string) bool { write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n"); return false },
+		},
 		{"not HTTP", false, func(c net.Conn, _ string) bool { return write(c, "garbage\r\n\r\n") }},
 		{"reply to another request", false, func(c net.Conn, _ string) bool { return write(c, ok("other", "body")) }},
 		{"connection closed", false, func(net.Conn, string) bool { return false }},
