backend: give up replies that have no end

A replica in trouble may send bytes without end. Bodies were bounded one by one, at 16 MiB, but not together: 40 replicas that send them at once exceed the memory of a machine.

Change: a head has 64 KiB, interim responses included; a body 16 MiB with its encoding; all bodies that are being read have 64 MiB together. What goes beyond fails the attempt and closes the connection. Heads of replies from the store and to the project's own protocol have the same bound instead of net/http's 10 MB. The reading of replies moves to a file of its own.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -10,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -18,7 +16,6 @@
 
 // Limits on the exchange with a replica.
 const (
-	maxResponse     = 16 << 20               // size of a response body in bytes
 	connectTimeout  = 300 * time.Millisecond // for opening a connection; covers several round trips between regions
 	readBuffer      = 4 << 10                // size of a connection's read buffer in bytes
 	callCancelGrace = 10 * time.Millisecond  // time for which a cancelled call may still get its reply
@@ -158,69 +155,6 @@
 	return false
 }
 
-// reply is the result of reading the response to one request.
-type reply struct {
-	response  ramp.Response
-	reusable  bool          // the connection can carry another request
-	keepAlive time.Duration // keep-alive time advertised by the replica; 0 for none
-	err       error
-}
-
-// readReply reads one whole final response. It skips interim responses. The connection
-// is not reusable after a response without a length, or if more bytes have arrived.
-func readReply(reader *bufio.Reader, method string) reply {
-	request := &http.Request{Method: method}
-	for {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil {
-			return reply{err: err}
-		}
-		if response.StatusCode < http.StatusContinue {
-			_ = response.Body.Close() // the connection is closed by its reader
-			return reply{err: fmt.Errorf("invalid status %d", response.StatusCode)}
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
-		_ = response.Body.Close() // does not close the connection
-		if err != nil {
-			return reply{err: err}
-		}
-		if len(body) > maxResponse {
-			return reply{err: fmt.Errorf("response body exceeds %d bytes", maxResponse)}
-		}
-		untilClose := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-		return reply{
-			response:  ramp.Response{Status: response.StatusCode, Fields: headerFields(response.Header), Body: body},
-			reusable:  !response.Close && !untilClose && reader.Buffered() == 0,
-			keepAlive: parseKeepAlive(response.Header.Get("Keep-Alive")),
-		}
-	}
-}
-
-// headerFields returns the header's fields. Those of one name keep their order.
-func headerFields(header http.Header) []ramp.Field {
-	fields := make([]ramp.Field, 0, len(header))
-	for name, values := range header {
-		for _, v := range values {
-			fields = append(fields, ramp.Field{Name: name, Value: v})
-		}
-	}
-	return fields
-}
-
-// parseKeepAlive returns the timeout in the value of a Keep-Alive field, 0 for none.
-func parseKeepAlive(value string) time.Duration {
-	for parameter := range strings.SplitSeq(value, ",") {
-		name, seconds, _ := strings.Cut(strings.TrimSpace(parameter), "=")
-		if n, err := strconv.Atoi(seconds); err == nil && strings.EqualFold(name, "timeout") {
-			return time.Duration(n) * time.Second
-		}
-	}
-	return 0
-}
-
 // dialOutcome maps an error of [connPool.get] to an outcome.
 func dialOutcome(ctx context.Context, err error) ramp.Outcome {
 	var limit *LimitError
@@ -235,12 +169,13 @@
 
 // replyOutcome maps an error of reading a reply to an outcome.
 func replyOutcome(ctx context.Context, err error) ramp.Outcome {
+	var size *ReplySizeError
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return ramp.Expired
 	case ctx.Err() != nil:
 		return ramp.Cancelled
-	case errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &size):
 		return ramp.Truncated
 	}
 	return ramp.Unreachable
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -131,7 +131,10 @@
 		{
 			"truncated head",
 			false,
-			func(c net.Conn, id string) bool { write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Le"); return false },
+			func(c net.Conn, id string) bool {
+				write(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Le")
+				return false
+			},
 		},
 		{
 			"head without its empty line",
--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"net/http"
 	"testing"
@@ -16,7 +15,7 @@
 	f.Add([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\nKeep-Alive: timeout=-1\r\n\r\nbody"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		reader := bufio.NewReader(bytes.NewReader(data))
+		reader := newReplyReader(bytes.NewReader(data), &byteBudget{limit: maxPendingBodies})
 		r := readReply(reader, http.MethodGet)
 		if r.err == nil && r.reusable && reader.Buffered() > 0 {
 			t.Error("connection with unread bytes is reusable")
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"slices"
@@ -22,7 +21,7 @@
 // at once.
 type persistentConn struct {
 	netConn   net.Conn
-	reader    *bufio.Reader
+	reader    *replyReader
 	address   string
 	idleUntil time.Time // expiry while idle; guarded by the pool's mutex
 
@@ -98,15 +97,17 @@
 
 // connPool pools connections to replicas and limits their number for each address.
 type connPool struct {
-	clock ramp.Clock
-	dial  dialFunc
-	mutex *ramp.Mutex
-	peers map[string]peerConns // by address; no empty values
+	clock  ramp.Clock
+	dial   dialFunc
+	bodies *byteBudget // of the replies that are being read
+	mutex  *ramp.Mutex
+	peers  map[string]peerConns // by address; no empty values
 }
 
 func newConnPool(clock ramp.Clock, dial dialFunc) *connPool {
 	return &connPool{
-		clock: clock, dial: dial, mutex: ramp.NewMutex(ramp.RankReplicas), peers: make(map[string]peerConns),
+		clock: clock, dial: dial, bodies: &byteBudget{limit: maxPendingBodies},
+		mutex: ramp.NewMutex(ramp.RankReplicas), peers: make(map[string]peerConns),
 	}
 }
 
@@ -132,7 +133,7 @@
 		p.release(i.Address)
 		return nil, true, err
 	}
-	c := &persistentConn{netConn: connection, reader: bufio.NewReaderSize(connection, readBuffer), address: i.Address}
+	c := &persistentConn{netConn: connection, reader: newReplyReader(connection, p.bodies), address: i.Address}
 	go c.readReplies(p.removeEnded)
 	return c, true, nil
 }
--- a/backend/transport.go
+++ b/backend/transport.go
@@ -53,6 +53,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}}}
 }
 
--- a/backend/truncated_test.go
+++ b/backend/truncated_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"net/http"
 	"strings"
 	"testing"
@@ -28,15 +27,20 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			for n := range len(test.reply) - len(test.unmarked) {
-				r := readReply(bufio.NewReader(strings.NewReader(test.reply[:n])), http.MethodGet)
+				r := readReply(newTestReader(test.reply[:n]), http.MethodGet)
 				if r.err == nil {
 					t.Errorf("cut after %q: status %d with %d bytes of body", test.reply[max(0, n-12):n], r.response.Status,
 						len(r.response.Body))
 				}
 			}
-			r := readReply(bufio.NewReader(strings.NewReader(test.reply)), http.MethodGet)
+			r := readReply(newTestReader(test.reply), http.MethodGet)
 			is.NoErr(r.err)
 			is.Equal(r.response.Status, http.StatusOK)
 		})
 	}
 }
+
+// newTestReader returns a reader of the bytes of one connection.
+func newTestReader(bytes string) *replyReader {
+	return newReplyReader(strings.NewReader(bytes), &byteBudget{limit: maxPendingBodies})
+}
