--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -187,6 +187,36 @@
 	golden.Check(t, "removals", b.String())
 }
 
+// TestOddEntryLeavesOthers records the replicas that a daemon knows while entries that
+// cannot be read stand among them, and how many of the others it still follows afterwards.
+func TestOddEntryLeavesOthers(t *testing.T) {
+	var b strings.Builder
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := standin.NewStore(ramp.SystemClock{})
+		writer := store.For("writer")
+		deep := strings.Repeat("[", 1<<20)
+		for key, value := range map[string]string{
+			"servers/1-deep": deep, "servers/2-number": `{"sequence":1e999}`, "servers/3-port": `{"address":"10.0.0.1:99999"}`,
+			"servers/\r\n": "x", "daemons/odd": deep, "op/config": deep,
+		} {
+			_, _ = writer.Swap(ctx, key, []byte(value), 0, "")
+		}
+		_, _ = writer.Swap(ctx, "replica/a", []byte("x"), 0, "")
+		all, _ := startObservers(ctx, store, 2)
+		time.Sleep(time.Second)
+		_, _ = writer.Swap(ctx, "replica/b", []byte("x"), 0, "")
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		for _, id := range []string{"d00", "d01"} {
+			fmt.Fprintf(&b, "%s: %s\n", id, strings.Join(all[id].replicas.lines, ", "))
+		}
+		time.Sleep(time.Minute)
+	})
+	golden.Check(t, "oddentries", b.String())
+}
+
 // silentPeers are peers that never answer.
 type silentPeers struct{ ramp.Peers }
 
