replica: heed replicas that leave or refuse requests for a time

Nothing read either: a replica whose entry the store did not show as draining was used to its end, and one that refused was asked again after 20 ms.

Leaving counts like a draining entry from the first time that either said so, and is final for the start. Bad values are ignored and named in the log. A message whose quorum is out of reach is refused before any replica works on it, as not run, with the time at which enough replicas take requests and up to a quarter more. belief shows what a replica said, counters by service how often, and how many attempts were given up for it.

Weighed: daemons could tell each other. They do not: a refusal is meant for one daemon, and each learns with its first request.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	go test ./platform -run '^$$' -fuzz '^FuzzTranslate$$' -fuzztime $(FUZZTIME)
 	go test ./platform -run '^$$' -fuzz '^FuzzSettings$$' -fuzztime $(FUZZTIME)
 	go test ./platform -run '^$$' -fuzz '^FuzzFront$$' -fuzztime $(FUZZTIME)
+	go test ./platform -run '^$$' -fuzz '^FuzzSignals$$' -fuzztime $(FUZZTIME)
 	go test ./backend -run '^$$' -fuzz '^FuzzReply$$' -fuzztime $(FUZZTIME)
 
 # SEEDS is the number of seeds, from FIRST on. Logs of seeds that fail stay in
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -139,7 +139,7 @@
 		Exchanger: backend.NewExchanger(platform.CallCodec{}, e.clock),
 		Collector: e.peers, Delegates: fleet.NewDelegateSelector(e.members, e.clock),
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
-		ObserveAttempt: e.metrics.ObserveAttempt,
+		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
 	e.peerServer.WithCollectHandler(relay.Init())
 	front := platform.CallerHandler{Messages: relay, Routing: e.routes, Leaving: e.isLeaving}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,14 +17,15 @@
 // Limits of the metrics.
 const (
 	reportInterval = time.Second // between reports of the counters
-	maxTagValues   = 64          // plans and routes with their own tag value
-	otherTagValue  = "other"     // tag value of all further plans and routes
+	maxTagValues   = 512         // plans, routes and services with their own tag value
+	otherTagValue  = "other"     // tag value of all further names
 )
 
 // Names of tags.
 const (
 	tagOutcome = "outcome"
 	tagRoute   = "route"
+	tagService = "service"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms' buckets.
@@ -80,6 +81,26 @@
 	if a.NewConnection {
 		m.scope.Counter("connections").Inc(1)
 	}
+	if a.Signals != nil {
+		m.countSignals(a.Shard.ID, *a.Signals)
+	}
+}
+
+// countSignals counts what a replica of the service said of itself.
+func (m *metrics) countSignals(service string, s ramp.Signals) {
+	for kind, said := range map[string]bool{
+		"limit": s.Limited, "leaving": s.Leaving, "refuses": s.RetryAfter > 0, "ignored": s.Ignored != "",
+	} {
+		if said {
+			m.scope.Tagged(map[string]string{tagService: m.boundedTag(service), "says": kind}).Counter("signals").Inc(1)
+		}
+	}
+}
+
+// ObserveWithheld counts an attempt that was not made because all replicas of the service
+// that were left accept no request of this daemon yet.
+func (m *metrics) ObserveWithheld(service string) {
+	m.scope.Tagged(map[string]string{tagService: m.boundedTag(service)}).Counter("withheld").Inc(1)
 }
 
 // queryOutcome returns "whole", "partial", or the reason of a refusal.
@@ -138,7 +159,7 @@
 		}
 		m.setGauge("leaving", leaving)
 		for _, l := range s.Limits {
-			m.reporter.AllocateGauge("sycamoreramp_limit", map[string]string{"service": l.Service}).ReportGauge(l.Size)
+			m.reporter.AllocateGauge("sycamoreramp_limit", map[string]string{tagService: l.Service}).ReportGauge(l.Size)
 		}
 		text.ServeHTTP(w, r)
 	}
--- a/operator/belief.go
+++ b/operator/belief.go
@@ -57,9 +57,11 @@
 	FailureRatio float64 `json:"trouble"` // share of recent attempts that failed or were refused
 	Stalled      bool    `json:"stalled"`
 
-	RateLimit *float64 `json:"limit,omitempty"` // requests per second that it accepts from all daemons
-	Share     float64  `json:"share,omitempty"` // requests per second that this daemon may send under the limit
-	SaidAge   string   `json:"said,omitempty"`  // age of what it last said of itself
+	RateLimit *float64 `json:"limit,omitempty"`   // requests per second that it accepts from all daemons
+	Share     float64  `json:"share,omitempty"`   // requests per second that this daemon may send under the limit
+	Leaving   bool     `json:"leaving,omitempty"` // it said that it shuts down
+	Refuses   string   `json:"refuses,omitempty"` // time until it accepts a request of this daemon
+	SaidAge   string   `json:"said,omitempty"`    // age of what it last said of itself
 }
 
 // DaemonView is the daemon's view of another daemon.
@@ -111,6 +113,12 @@
 		}
 		if v.Signals.Limited {
 			encoded.RateLimit, encoded.Share = &v.Signals.RateLimit, v.Share
+		}
+		encoded.Leaving = v.Signals.Leaving
+		if v.Delay > 0 {
+			encoded.Refuses = v.Delay.Round(ageUnit).String()
+		}
+		if v.Signals.Limited || v.Signals.Leaving || v.Delay > 0 {
 			encoded.SaidAge = v.SignalsAge.Round(ageUnit).String()
 		}
 		b.Replicas = append(b.Replicas, encoded)
@@ -176,10 +184,20 @@
 
 // says returns a short text of what the replica said of itself, or "-".
 func (r ReplicaView) says() string {
-	if r.RateLimit == nil {
+	if r.SaidAge == "" {
 		return "-"
 	}
-	return fmt.Sprintf("limit %g (share %.2g) %s ago", *r.RateLimit, r.Share, r.SaidAge)
+	var said []string
+	if r.RateLimit != nil {
+		said = append(said, fmt.Sprintf("limit %g (share %.2g)", *r.RateLimit, r.Share))
+	}
+	if r.Leaving {
+		said = append(said, "leaving")
+	}
+	if r.Refuses != "" {
+		said = append(said, "not before "+r.Refuses)
+	}
+	return strings.Join(append(said, r.SaidAge+" ago"), ", ")
 }
 
 // services returns a short text that names the services behind the route.
--- a/query/execution.go
+++ b/query/execution.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,10 @@
 	capacityWaitDivisor = 4                    // a part waits for 1/4 of the objective; longer only delays the refusal
 )
 
+// returnSpread is the greatest part of a delay that is added to the time after
+// which a refused caller may retry.
+const returnSpread = 0.25
+
 // referenceLatency is the median latency to which replies of every route are
 // scaled, so that latencies on different routes are comparable for the same
 // replica.
@@ -90,12 +95,20 @@
 	expired := make(chan struct{})
 	stop := clock.AfterFunc(e.deadline.Sub(clock.Now()), func() { close(expired) })
 	defer stop()
+	for i := range e.partCount {
+		state, _ := e.parts.Get(i)
+		e.relay.Budget.CountRequest(state.service) // not in the delegate, since this daemon makes the retries and hedges
+	}
 	if e.route.Gathered() && e.route.Objective > 0 {
 		defer clock.AfterFunc(e.fullAnswerWait(), e.acceptQuorum)()
 	}
 	if e.route.Idempotent && e.route.MaxAttempts > 1 {
 		defer clock.AfterFunc(e.hedgeDelay, e.hedgeSlowParts)()
 	}
+	if delay := e.refusalDelay(); delay > 0 {
+		r.TotalParts = e.partCount
+		return r, e.refuse(ramp.ReasonReplica, false, delay)
+	}
 	e.start()
 	callerGone := ctx.Done()
 	if !e.route.Idempotent {
@@ -111,13 +124,34 @@
 	return e.result(r, callerLeft)
 }
 
-// start makes the first attempts, or delegates them to daemons of other failure
-// domains.
-func (e *execution) start() {
+// refusalDelay returns the time until the replicas accept enough parts for the
+// quorum, if that is longer than a part waits, and 0 otherwise. A message that
+// cannot be answered is then refused before any replica works on it.
+func (e *execution) refusalDelay() time.Duration {
+	delays := make([]time.Duration, 0, e.partCount)
 	for i := range e.partCount {
 		state, _ := e.parts.Get(i)
-		e.relay.Budget.CountRequest(state.service) // not in the delegate, since this daemon makes the retries and hedges
+		delays = append(delays, e.relay.Picker.Delay(state.service))
 	}
+	if delay := quorumDelay(delays, e.quorum); delay > e.route.Objective/capacityWaitDivisor {
+		return delay
+	}
+	return 0
+}
+
+// quorumDelay returns the time after which as many of the delays have passed as
+// needed.
+func quorumDelay(delays []time.Duration, needed int) time.Duration {
+	if needed <= 0 || len(delays) == 0 {
+		return 0
+	}
+	slices.Sort(delays)
+	return delays[min(needed, len(delays))-1]
+}
+
+// start makes the first attempts, or delegates them to daemons of other failure
+// domains.
+func (e *execution) start() {
 	delegated := make(map[int]bool)
 	if e.route.Gathered() && e.route.MaxAttempts > 1 && e.relay.Delegates != nil && len(e.message.Body) == 0 {
 		for _, d := range e.planDelegations(e.route.Gather) {
@@ -209,7 +243,9 @@
 	instance, pick, ok := e.relay.Picker.Pick(state.service, state.attempts, e.connectionShare(state.service))
 	if !ok {
 		if kind == ramp.Hedge || !e.retryForCapacity(index, kind, pick) {
-			e.parts.Update(index, func(s part) part { return s.withDelay(pick.Delay) })
+			if pick.Throttled > 0 {
+				e.relay.ObserveWithheld(state.service)
+			}
 			e.giveUp(index) // no effect with a pending attempt; hedgeSlowParts tries a hedge again
 		}
 		return
@@ -387,7 +423,7 @@
 	slices.SortFunc(r.Attempts, func(a, b ramp.Attempt) int { return cmp.Compare(a.Number, b.Number) })
 	r.TotalParts = e.partCount
 	if callerLeft {
-		return r, e.refuse(ramp.ReasonCaller, mayHaveRun, states)
+		return r, e.refuse(ramp.ReasonCaller, mayHaveRun, 0)
 	}
 	if e.route.Gathered() {
 		return e.mergeParts(r, states, mayHaveRun)
@@ -396,7 +432,7 @@
 		r.Response = s.response
 		return r, nil
 	}
-	return r, e.refuse(e.refusalReason(), mayHaveRun, states)
+	return r, e.refuse(e.refusalReason(), mayHaveRun, e.openDelay(states))
 }
 
 // close closes all parts and returns their final states. No batch is merged
@@ -425,7 +461,7 @@
 	r.MissingParts = e.partCount - len(r.Stamps)
 	if len(r.Stamps) < e.quorum {
 		r.Stamps = nil
-		return r, e.refuse(e.refusalReason(), mayHaveRun, states)
+		return r, e.refuse(e.refusalReason(), mayHaveRun, e.openDelay(states))
 	}
 	r.Response.Body = topRecords(bodies, e.route.TopK)
 	return r, nil
@@ -441,33 +477,31 @@
 }
 
 // refuse returns a refusal, with a time to retry after if the message cannot
-// have run.
-func (e *execution) refuse(reason ramp.Reason, mayHaveRun bool, states []part) error {
+// have run: the delay until replicas accept it, and a part of it more, so that
+// the callers refused meanwhile do not all return at once.
+func (e *execution) refuse(reason ramp.Reason, mayHaveRun bool, delay time.Duration) error {
 	if mayHaveRun {
 		return &ramp.RefusedError{Reason: reason, Ran: ramp.RanUnknown}
 	}
 	return &ramp.RefusedError{
-		Reason: reason, Ran: ramp.NotRun, RetryAfter: max(refusalRetryAfter, e.quorumDelay(states)),
+		Reason: reason, Ran: ramp.NotRun,
+		RetryAfter: max(refusalRetryAfter, delay+time.Duration(returnSpread*rand.Float64()*float64(delay))),
 	}
 }
 
-// quorumDelay returns the time until replicas accept requests for enough of the
+// openDelay returns the time until replicas accept requests for enough of the
 // parts that were not received to reach the quorum.
-func (e *execution) quorumDelay(states []part) time.Duration {
+func (e *execution) openDelay(states []part) time.Duration {
 	needed := e.quorum
 	var delays []time.Duration
 	for _, s := range states {
 		if s.merged {
 			needed--
 		} else {
-			delays = append(delays, s.delay)
+			delays = append(delays, e.relay.Picker.Delay(s.service))
 		}
 	}
-	if needed <= 0 || len(delays) == 0 {
-		return 0
-	}
-	slices.Sort(delays)
-	return delays[min(needed, len(delays))-1]
+	return quorumDelay(delays, needed)
 }
 
 // findRefusal returns the refusal that err wraps, or nil.
--- a/query/part.go
+++ b/query/part.go
@@ -16,7 +16,6 @@
 	response ramp.Response  // the merged response, or else the last failure with a signature
 	merged   bool           // the response is part of the answer; implies closed
 	closed   bool           // no attempt may start and no response may be merged any more
-	delay    time.Duration  // until a replica accepts an attempt, if the part was given up for want of one
 
 	context context.Context    // of the attempts; ends with the execution
 	cancel  context.CancelFunc // cancels the attempts in flight
@@ -33,11 +32,6 @@
 	return p
 }
 
-func (p part) withDelay(d time.Duration) part {
-	p.delay = d
-	return p
-}
-
 func (p part) WithAttempt(a ramp.Attempt) part {
 	p.attempts = append(slices.Clip(p.attempts), a)
 	return p
--- a/query/relay.go
+++ b/query/relay.go
@@ -41,6 +41,10 @@
 	Observe        func(d ramp.RelayResult, err error) // called once for each message
 	ObserveAttempt func(a ramp.Attempt)                // called once for each attempt of this daemon that has ended
 
+	// ObserveWithheld is called for each attempt that was given up because all replicas
+	// of the service that were left accept no request of this daemon yet.
+	ObserveWithheld func(service string)
+
 	splitCount   atomic.Uint64                      // messages on split routes so far
 	longestWaits *ramp.Table[string, time.Duration] // longest wait that any caller stated, by route
 }
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -81,7 +81,7 @@
 		Picker:    newPicker(instances, "", clock),
 		Budget:    retry.NewFleetBudget(retry.Bounds{Ratio: 1, Slack: 100, Window: time.Second}, one, clock),
 		Exchanger: s, FleetSize: one, ReplyMargin: 10 * time.Millisecond, Observe: func(ramp.RelayResult, error) {},
-		ObserveAttempt: func(ramp.Attempt) {},
+		ObserveAttempt: func(ramp.Attempt) {}, ObserveWithheld: func(string) {},
 	}
 	return relay.Init()
 }
@@ -350,53 +350,74 @@
 	})
 }
 
-// limiting makes replicas name a rate limit in each response. It implements
+// speaking makes replicas say something of themselves in each response. It implements
 // [ramp.Exchanger].
-type limiting struct {
+type speaking struct {
 	script
-	limits map[string]float64 // by replica id
+	signals map[string]ramp.Signals // by replica id
 }
 
 // Exchange implements [ramp.Exchanger].
-func (l limiting) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
-	r, err := l.script.Exchange(ctx, c)
-	limit, limited := l.limits[c.Instance.ID]
-	return r.WithSignals(ramp.Signals{Limited: limited, RateLimit: limit}), err
+func (s speaking) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
+	r, err := s.script.Exchange(ctx, c)
+	signals := s.signals[c.Instance.ID]
+	var failed *ramp.AttemptError
+	if errors.As(err, &failed) {
+		failed.Signals = &signals
+	}
+	return r.WithSignals(signals), err
+}
+
+// limits returns the signals of replicas that name rate limits.
+func limits(perSecond map[string]float64) map[string]ramp.Signals {
+	signals := make(map[string]ramp.Signals)
+	for id, limit := range perSecond {
+		signals[id] = ramp.Signals{}.WithRateLimit(limit)
+	}
+	return signals
 }
 
-// TestRelayUnderRateLimits records what callers get while replicas accept fewer requests
+// TestRelayUnderSignals records what callers get while replicas accept fewer requests
 // than they send: an answer without the part, or at once a
 // refusal that says when to return.
-func TestRelayUnderRateLimits(t *testing.T) {
+func TestRelayUnderSignals(t *testing.T) {
 	ok := behaviour{delay: 5 * ms, status: 200, body: record1}
+	refusing := behaviour{outcome: ramp.Shed, notRun: true}
+	refusals := map[string]ramp.Signals{"a-1": {RetryAfter: 2 * time.Second}}
 	all := gathered()
 	all.MinCoverage = 1
 	tests := []struct {
-		name   string
-		route  ramp.Route
-		script script
-		limits map[string]float64
+		name    string
+		route   ramp.Route
+		script  script
+		signals map[string]ramp.Signals
 	}{
-		{"single response", single(true), script{"a-1": ok}, map[string]float64{"a-1": 2}},
-		{"single response, wait is short", single(true), script{"a-1": ok}, map[string]float64{"a-1": 20}},
-		{"not idempotent", single(false), script{"a-1": ok}, map[string]float64{"a-1": 2}},
-		{"another replica has no limit", single(true), script{"a-1": ok, "a-2": ok}, map[string]float64{"a-1": 2}},
-		{"one part, the quorum suffices", gathered(), script{"a-1": ok, "b-1": ok}, map[string]float64{"a-1": 2}},
-		{"one part, no quorum", all, script{"a-1": ok, "b-1": ok}, map[string]float64{"a-1": 2}},
-		{"all parts, no quorum", all, script{"a-1": ok, "b-1": ok}, map[string]float64{"a-1": 2, "b-1": 0.5}},
+		{"single response", single(true), script{"a-1": ok}, limits(map[string]float64{"a-1": 2})},
+		{"single response, wait is short", single(true), script{"a-1": ok}, limits(map[string]float64{"a-1": 20})},
+		{"not idempotent", single(false), script{"a-1": ok}, limits(map[string]float64{"a-1": 2})},
+		{"another replica has no limit", single(true), script{"a-1": ok, "a-2": ok}, limits(map[string]float64{"a-1": 2})},
+		{"one part, the quorum suffices", gathered(), script{"a-1": ok, "b-1": ok}, limits(map[string]float64{"a-1": 2})},
+		{"one part, no quorum", all, script{"a-1": ok, "b-1": ok}, limits(map[string]float64{"a-1": 2})},
+		{"the only replica refuses for a time", single(true), script{"a-1": refusing}, refusals},
+		{"another replica refuses for a time", single(true), script{"a-1": refusing, "a-2": ok}, refusals},
+		{"the only replica of a part refuses for a time", gathered(), script{"a-1": refusing, "b-1": ok}, refusals},
+		{"the only replica of a part refuses, no quorum", all, script{"a-1": refusing, "b-1": ok}, refusals},
+		{"the only replica leaves", single(true), script{"a-1": ok}, map[string]ramp.Signals{"a-1": {Leaving: true}}},
+		{"all parts, no quorum", all, script{"a-1": ok, "b-1": ok}, limits(map[string]float64{"a-1": 2, "b-1": 0.5})},
 	}
 	var b strings.Builder
 	for _, test := range tests {
 		synctest.Test(t, func(t *testing.T) {
 			relay := newRelay(test.script, test.route)
-			relay.Exchanger = limiting{test.script, test.limits}
+			relay.Exchanger = speaking{test.script, test.signals}
+			time.Sleep(time.Second) // the retry budget grows over its first window
 			fmt.Fprintf(&b, "%s:\n", test.name)
 			for i := range 4 {
 				d, err := relay.Handle(t.Context(), ramp.Message{ID: fmt.Sprint("m", i), Target: "/x"}, 0)
 				var refused *ramp.RefusedError
 				if errors.As(err, &refused) {
-					fmt.Fprintf(&b, "    refused ran=%s within=%s retry after=%s\n",
-						refused.Ran, d.Elapsed.Round(ms), refused.RetryAfter.Round(10*ms))
+					fmt.Fprintf(&b, "    refused ran=%s within=%s attempts=%d %s\n",
+						refused.Ran, d.Elapsed.Round(ms), len(d.Attempts), describeRetry(relay, refused.RetryAfter))
 				} else {
 					fmt.Fprintf(&b, "    answered within=%s missing=%d\n", d.Elapsed.Round(ms), d.MissingParts)
 				}
@@ -405,5 +426,18 @@
 			relay.Pool.Close()
 		})
 	}
-	golden.Check(t, "ratelimits", b.String())
+	golden.Check(t, "relaysignals", b.String())
+}
+
+// describeRetry returns whether a caller of a refused message may return after the time in
+// which a replica of service a accepts requests again, and not much later.
+func describeRetry(relay *query.Relay, after time.Duration) string {
+	delay := relay.Picker.Delay("a")
+	switch {
+	case after == 0:
+		return "retry at will"
+	case delay == 0:
+		return fmt.Sprintf("retry after=%s", after)
+	}
+	return fmt.Sprintf("retry in time=%t, soon after=%t", after >= delay, after <= max(100*ms, delay*5/4))
 }
--- a/relay.go
+++ b/relay.go
@@ -14,6 +14,9 @@
 	Pick(service string, tried []Attempt, limit int) (Instance, PickInfo, bool)
 	// Done records the outcome of an attempt.
 	Done(a Attempt)
+	// Delay returns the time until a replica of the service accepts a request of this
+	// daemon, 0 if one does, or if there is none at all.
+	Delay(service string) time.Duration
 	// Domains reports whether the service has a healthy replica in the daemon's own
 	// failure domain, and returns the other domains that have one, each once.
 	Domains(service string) (near bool, others []string)
@@ -115,6 +118,7 @@
 	Stalled      bool          // an attempt has been without a reply for too long
 	Signals      Signals       // what the replica last said of itself; zero for nothing
 	SignalsAge   time.Duration // age of Signals; 0 for none
+	Delay        time.Duration // until it accepts a request of this daemon; 0 if it does
 	Share        float64       // requests per second of this daemon under the replica's rate limit, if there is one
 }
 
--- a/replica/instances.go
+++ b/replica/instances.go
@@ -68,6 +68,15 @@
 	return r
 }
 
+// withLeavingSince returns the registration of a replica that itself said that it leaves,
+// unless its entry said so earlier. The time is zero if it did not.
+func (r registration) withLeavingSince(at time.Time) registration {
+	if !at.IsZero() && (r.drainingSince.IsZero() || at.Before(r.drainingSince)) {
+		r.drainingSince = at
+	}
+	return r
+}
+
 // health returns the replica's health by its registration. It reports false when the
 // replica must get no requests.
 func (r registration) health(now time.Time) (ramp.Health, bool) {
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -158,6 +158,14 @@
 		})
 		p.Done(endedAttempt(id, ramp.Misdirected, time.Millisecond))
 	}
+	say := func(p *Picker, id string, signals ramp.Signals) {
+		p.stats.Update(id, func(s replicaStats) replicaStats {
+			return s.withAttempt(instance(id, 1, 1, ramp.Live), time.Now())
+		})
+		a := endedAttempt(id, ramp.Merged, time.Millisecond)
+		a.Signals = &signals
+		p.Done(a)
+	}
 	const room = 9
 	tests := []struct {
 		name    string
@@ -222,6 +230,53 @@
 			displace(p, "far")
 			time.Sleep(displacedLife)
 		}},
+		{"replica says that it leaves", func(p *Picker, _ *Instances) { say(p, "near", ramp.Signals{Leaving: true}) }},
+		{"the only replica says that it leaves", func(p *Picker, s *Instances) {
+			s.MarkRemoved("far")
+			time.Sleep(deregisteredGrace)
+			say(p, "near", ramp.Signals{Leaving: true})
+		}},
+		{"the only replica said that it leaves, and no longer does", func(p *Picker, s *Instances) {
+			s.MarkRemoved("far")
+			time.Sleep(deregisteredGrace)
+			say(p, "near", ramp.Signals{Leaving: true})
+			time.Sleep(drainBound / 2)
+			say(p, "near", ramp.Signals{})
+		}},
+		{"replica restarts after it said that it leaves", func(p *Picker, s *Instances) {
+			say(p, "near", ramp.Signals{Leaving: true})
+			time.Sleep(drainBound)
+			s.Update(instance("near", 2, 1, ramp.Live))
+		}},
+		{"its entry is older than what the replica says", func(p *Picker, s *Instances) {
+			s.Update(instance("near", 1, 2, ramp.Leaving))
+			s.MarkRemoved("far")
+			time.Sleep(drainBound / 2)
+			say(p, "near", ramp.Signals{Leaving: true})
+		}},
+		{"replica refuses for a time", func(p *Picker, _ *Instances) {
+			say(p, "near", ramp.Signals{RetryAfter: 2 * time.Second})
+		}},
+		{"all replicas refuse for a time", func(p *Picker, _ *Instances) {
+			say(p, "near", ramp.Signals{RetryAfter: 2 * time.Second})
+			say(p, "far", ramp.Signals{RetryAfter: time.Second})
+		}},
+		{"another response while a replica refuses", func(p *Picker, _ *Instances) {
+			say(p, "near", ramp.Signals{RetryAfter: 2 * time.Second})
+			say(p, "far", ramp.Signals{RetryAfter: 2 * time.Second})
+			say(p, "near", ramp.Signals{})
+			say(p, "far", ramp.Signals{RetryAfter: time.Second})
+		}},
+		{"after the time for which a replica refuses", func(p *Picker, _ *Instances) {
+			say(p, "near", ramp.Signals{RetryAfter: 2 * time.Second})
+			say(p, "far", ramp.Signals{RetryAfter: time.Minute})
+			time.Sleep(2 * time.Second)
+		}},
+		{"replica that refuses restarts", func(p *Picker, s *Instances) {
+			say(p, "near", ramp.Signals{RetryAfter: time.Minute})
+			say(p, "far", ramp.Signals{RetryAfter: time.Minute})
+			s.Update(instance("near", 2, 1, ramp.Live))
+		}},
 		{"preferred replica saturated", func(p *Picker, _ *Instances) {
 			for range room {
 				p.stats.Update("near", func(s replicaStats) replicaStats {
@@ -264,7 +319,11 @@
 			p := newTestPicker(s)
 			test.prepare(p, s)
 			i, info, ok := p.Pick("s", nil, room)
-			fmt.Fprintf(&b, "%s: %s %s found=%t\n", test.name, i.ID, info.Health, ok)
+			fmt.Fprintf(&b, "%s: %s %s found=%t", test.name, i.ID, info.Health, ok)
+			if info.Throttled > 0 {
+				fmt.Fprintf(&b, " throttled=%d delay=%s", info.Throttled, info.Delay)
+			}
+			fmt.Fprintln(&b)
 		})
 	}
 	golden.Check(t, "pick", b.String())
--- a/replica/limit.go
+++ b/replica/limit.go
@@ -80,8 +80,10 @@
 
 // condition is what a start of a replica last said of itself. It is an immutable value.
 type condition struct {
-	signals ramp.Signals
-	heardAt time.Time // when the signals came; zero for never
+	signals      ramp.Signals
+	heardAt      time.Time // when the signals came; zero for never
+	leavingSince time.Time // when it first said that it shuts down, which is final; zero for never
+	refusesUntil time.Time // end of the longest time for which it refused requests in advance; zero for none
 
 	// The fields below are unused without a rate limit.
 	share   ramp.LimitShare // this daemon's share of the rate limit
@@ -92,7 +94,13 @@
 // withSignals returns the condition after a response. The argument share is this daemon's
 // share of the rate limit.
 func (c condition) withSignals(s ramp.Signals, share ramp.LimitShare, now time.Time) condition {
-	next := condition{signals: s, heardAt: now}
+	next := condition{signals: s, heardAt: now, leavingSince: c.leavingSince, refusesUntil: c.refusesUntil}
+	if s.Leaving && c.leavingSince.IsZero() {
+		next.leavingSince = now
+	}
+	if until := now.Add(s.RetryAfter); s.RetryAfter > 0 && until.After(c.refusesUntil) {
+		next.refusesUntil = until
+	}
 	if s.Limited {
 		next.share, next.bucket = share, c.bucket.withRate(share.Rate, now)
 		factor := 1 + probeJitter*(2*rand.Float64()-1)
@@ -115,10 +123,11 @@
 
 // sendDelay returns the time until the replica accepts another request of this daemon.
 func (c condition) sendDelay(now time.Time) time.Duration {
+	refused := max(0, c.refusesUntil.Sub(now))
 	if !c.signals.Limited {
-		return 0
+		return refused
 	}
-	return min(c.bucket.delay(now), c.probeDelay(now))
+	return max(refused, min(c.bucket.delay(now), c.probeDelay(now)))
 }
 
 // withRequest returns the condition after a request was assigned to the replica.
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -193,7 +193,7 @@
 	if s.displaced(r, now) {
 		return "", false
 	}
-	health, ok := r.health(now)
+	health, ok := r.withLeavingSince(s.leavingSince).health(now)
 	if ok && health == ramp.HealthOK && s.Avoided(now) {
 		return ramp.HealthSuspect, true
 	}
@@ -247,7 +247,8 @@
 	})
 	if changed {
 		p.log.Info("replica signals changed", "replica", a.Replica.ID, "service", a.Shard.ID,
-			"limited", a.Signals.Limited, "limit", a.Signals.RateLimit, "share", share.Rate, "ignored", a.Signals.Ignored)
+			"limited", a.Signals.Limited, "limit", a.Signals.RateLimit, "share", share.Rate,
+			"leaving", a.Signals.Leaving, "refuses", a.Signals.RetryAfter, "ignored", a.Signals.Ignored)
 	}
 }
 
@@ -264,12 +265,30 @@
 		}
 		views = append(views, ramp.ReplicaView{
 			Instance: r.Instance, Health: health, EntryAge: now.Sub(r.readAt), InFlight: s.InFlight, Latency: s.Latency,
-			FailureRatio: s.currentFailureRatio(now), Stalled: s.stalled(now),
+			FailureRatio: s.currentFailureRatio(now), Stalled: s.stalled(now), Delay: s.sendDelay(now),
 		}.WithSignals(s.signals, s.signalsAge(now), s.share.Rate))
 	}
 	return views
 }
 
+// Delay implements [ramp.Picker].
+func (p *Picker) Delay(service string) time.Duration {
+	now := p.clock.Now()
+	var info ramp.PickInfo
+	for _, r := range p.instances.ofService(service) {
+		s := p.statsOf(r)
+		if _, ok := p.health(r, s, now); !ok {
+			continue
+		}
+		delay := s.sendDelay(now)
+		if delay == 0 {
+			return 0
+		}
+		info = info.WithThrottled(delay)
+	}
+	return info.Delay
+}
+
 // Remove deletes the statistics of a replica that is gone.
 func (p *Picker) Remove(id string) { p.stats.Delete(id) }
 
--- a/signals.go
+++ b/signals.go
@@ -2,12 +2,16 @@
 
 import "time"
 
-// Signals are what a replica says of itself in a response. They hold for the start of the
-// replica that sent them, until its next response. It is an immutable value.
+// Signals are what a replica says of itself in a response. They are about the start of the
+// replica that sent them. It is an immutable value.
 type Signals struct {
-	Limited   bool    // the replica named a rate limit
+	Limited   bool    // the replica named a rate limit, which holds until a response names none
 	RateLimit float64 // requests per second that it accepts from all daemons together; finite, at least 0
-	Ignored   string  // names of the fields whose values were unusable, separated by spaces; "" for none
+	Leaving   bool    // the replica shuts down and will accept no more requests
+	// RetryAfter is the time for which the replica, which refused a request, accepts no
+	// other one of this daemon. It is 0 for none.
+	RetryAfter time.Duration
+	Ignored    string // names of the fields whose values were unusable, separated by spaces; "" for none
 }
 
 // WithRateLimit returns the signals with a rate limit. Of several, the lowest holds.
@@ -18,6 +22,19 @@
 	return s
 }
 
+// WithLeaving returns the signals of a replica that shuts down.
+func (s Signals) WithLeaving() Signals {
+	s.Leaving = true
+	return s
+}
+
+// WithRetryAfter returns the signals with a time for which the replica accepts no request.
+// Of several, the longest holds.
+func (s Signals) WithRetryAfter(d time.Duration) Signals {
+	s.RetryAfter = max(s.RetryAfter, d)
+	return s
+}
+
 // WithIgnored returns the signals with the name of a field whose value was unusable.
 func (s Signals) WithIgnored(field string) Signals {
 	if s.Ignored != "" {
