internal/soak: replicas say that they leave, limit or refuse requests

Stand-in replicas speak Server-Leaving, Server-Limit and 503 with Retry-After, drawn by the seed, one of three departures only in answers, and check from what they see that requests cease. The replicas do not know which daemon calls, so the checks allow the daemons together some requests until each was told.

The behaviour of a replica is now drawn from whole milliseconds of its length: from nanoseconds, a count of behaviours that divides a million draws always the same one.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -162,3 +162,27 @@
 		t.Errorf("violations: %v", w.ledger.violations)
 	}
 }
+
+// TestUnheededStatementsAreFound checks that requests that go on after a replica has said
+// that it leaves, refuses requests for a time or limits them are reported.
+func TestUnheededStatementsAreFound(t *testing.T) {
+	said := statement{since: time.Now().Add(-time.Second), arrivals: 10 * untoldRequests}
+	var b strings.Builder
+	for _, test := range []struct {
+		name string
+		acts int
+		r    *replica
+	}{
+		{"leaving", sound, &replica{quiet: true, leaves: said}},
+		{"limit", limiting, &replica{limit: said}},
+		{"refusal", refusing, &replica{refuse: said}},
+		{"all heeded", limiting, &replica{quiet: true}},
+	} {
+		w := &cluster{ledger: newLedger()}
+		r := test.r
+		r.cluster = w
+		refused := r.speak(http.Header{}, test.acts)
+		fmt.Fprintf(&b, "%s: refused=%t violations=%d\n", test.name, refused, len(w.ledger.violations))
+	}
+	golden.Check(t, "statements", b.String())
+}
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -23,7 +23,9 @@
 	hanging        // half of its requests are delayed beyond any deadline
 	cutting        // half of its responses are truncated
 	doubling       // half of its responses are sent twice, the second one late
-	behaviourCount // number of behaviours
+	behaviourCount // number of behaviours that are drawn
+	limiting       // all of its responses name a rate limit
+	refusing       // all of its requests are refused for a time
 )
 
 // drainBound is the time after which a leaving replica must get no new requests. It
@@ -34,6 +36,17 @@
 // ended without deregistering.
 const leaseExpiry = 500 * time.Millisecond
 
+// What replicas say of themselves.
+const (
+	namedLimit  = 4.0 // requests per second
+	refusedTime = 2 * time.Second
+	// reactionTime is how long a daemon that was told may go on as before.
+	reactionTime = 500 * time.Millisecond
+	// untoldRequests bounds the requests of daemons that were not told yet: each daemon
+	// has some under way when it hears of it first, and some daemons restart.
+	untoldRequests = 15
+)
+
 // serial numbers the requests and random sources of all replicas.
 var serial atomic.Int64
 
@@ -47,7 +60,30 @@
 	mutex  sync.Mutex // guards the fields below
 	acts   int
 	left   time.Time // when the store acknowledged the leaving state; zero before
+	quiet  bool      // it says in its responses that it leaves
 	random *rand.Rand
+	limit  statement // that it names a limit
+	refuse statement // that it refuses requests for a time
+	leaves statement // that it leaves
+}
+
+// statement is something that a replica says of itself, with the requests that come although
+// it said so. It is an immutable value.
+type statement struct {
+	since    time.Time // first response that says so; zero for none
+	arrivals int       // requests later than from after it
+}
+
+// withRequest returns the statement after a request, which counts if it comes later than from
+// after the first response that said so.
+func (s statement) withRequest(now time.Time, from time.Duration) statement {
+	switch {
+	case s.since.IsZero():
+		s.since = now
+	case now.Sub(s.since) > from:
+		s.arrivals++
+	}
+	return s
 }
 
 // newReplica starts a replica behind a proxy and registers it.
@@ -122,7 +158,46 @@
 func (r *replica) behave(acts int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.acts = acts
+	r.acts, r.limit, r.refuse = acts, statement{}, statement{}
+}
+
+// leaveQuietly makes the replica say that it leaves in its responses alone.
+func (r *replica) leaveQuietly() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.quiet = true
+}
+
+// speak adds what the replica says of itself to the header of a response, and checks that
+// requests have ceased accordingly. It reports whether the request is refused.
+func (r *replica) speak(header http.Header, acts int) (refused bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now, ledger := time.Now(), r.cluster.ledger
+	if r.quiet {
+		r.leaves = r.leaves.withRequest(now, drainBound)
+		header.Set("Server-Leaving", "1")
+		ledger.check("leaving", r.leaves.arrivals <= untoldRequests, "%s got %d requests after it had said that it leaves",
+			r.instance.ID, r.leaves.arrivals)
+	}
+	switch acts {
+	case limiting:
+		r.limit = r.limit.withRequest(now, reactionTime)
+		header.Set("Server-Limit", fmt.Sprint(namedLimit))
+		allowed := untoldRequests + 1.5*namedLimit*now.Sub(r.limit.since).Seconds()
+		ledger.check("limit", float64(r.limit.arrivals) <= allowed, "%s got %d requests of %.0f under its limit",
+			r.instance.ID, r.limit.arrivals, allowed)
+	case refusing:
+		if now.Sub(r.refuse.since) > refusedTime {
+			r.refuse = statement{}
+		}
+		r.refuse = r.refuse.withRequest(now, reactionTime)
+		header.Set("Retry-After", fmt.Sprint(refusedTime.Seconds()))
+		ledger.check("refuse", r.refuse.arrivals <= untoldRequests, "%s got %d requests while it refused all",
+			r.instance.ID, r.refuse.arrivals)
+		return true
+	}
+	return false
 }
 
 // draw returns the behaviour for the next request, the time at which the replica
@@ -130,7 +205,7 @@
 func (r *replica) draw() (acts int, left time.Time, n int64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.acts == slow || r.random.IntN(2) == 0 {
+	if r.acts == slow || r.acts == limiting || r.acts == refusing || r.random.IntN(2) == 0 {
 		acts = r.acts
 	}
 	return acts, r.left, serial.Add(1)
@@ -148,7 +223,7 @@
 		late := time.Since(left) - drainBound
 		r.cluster.ledger.check("drain", late <= 0, "%s reached %s %s after its drain bound", id, r.instance.ID, late)
 	}
-	if acts == shedding {
+	if r.speak(w.Header(), acts) || acts == shedding {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -128,11 +128,11 @@
 
 // faultInjector injects faults drawn from the seed.
 type faultInjector struct {
-	cluster *cluster
-	random  *rand.Rand
-	history []string
-	sets    int  // partitions of the index so far
-	reuse   bool // whether the address of the last replica that left was reused
+	cluster    *cluster
+	random     *rand.Rand
+	history    []string
+	sets       int // partitions of the index so far
+	departures int // replicas that left
 }
 
 // injectFaults starts overlapping faults for a time and waits until all have ended.
@@ -234,10 +234,19 @@
 		{"replica deaf " + r.instance.ID, withMode(r.proxy, mode{dropReplies: true})},
 		{"replica far " + r.instance.ID, withMode(r.proxy, mode{delay: 60 * time.Millisecond})},
 		{"replica misbehaves " + r.instance.ID, func(took time.Duration) {
-			r.behave(1 + int(took)%(behaviourCount-1))
-			time.Sleep(took)
-			r.behave(sound)
+			withBehaviour(r, 1+int(took.Milliseconds())%(behaviourCount-1))(took)
 		}},
+		{"replica limits requests " + r.instance.ID, withBehaviour(r, limiting)},
+		{"replica refuses for a time " + r.instance.ID, withBehaviour(r, refusing)},
+	}
+}
+
+// withBehaviour returns a function that sets the behaviour of a replica for a time.
+func withBehaviour(r *replica, acts int) func(time.Duration) {
+	return func(took time.Duration) {
+		r.behave(acts)
+		time.Sleep(took)
+		r.behave(sound)
 	}
 }
 
@@ -269,10 +278,14 @@
 	w.mutex.Unlock()
 	if r.left.IsZero() {
 		s.checkChange(w.newReplica(r.instance.Service))
-		if s.reuse = !s.reuse; s.reuse {
-			s.checkChange(w.reuse(r, "two"))
-		} else {
+		s.departures++
+		switch s.departures % 3 {
+		case 0:
 			s.checkChange(r.leave())
+		case 1:
+			s.checkChange(w.reuse(r, "two"))
+		default:
+			r.leaveQuietly()
 		}
 	}
 	s.history = append(s.history, "configuration, "+r.instance.ID+" leaves")
