query: refuse at once when parts without replicas rule out a quorum

A query whose quorum cannot be reached, because too many of its services have no replica that may get requests, sent all other parts first, waited for them and then answered 502, since it had run in part. It is now refused before any replica works on it, as not run, and the caller may return. The same check already covered services whose replicas all refuse for a time.

--- a/query/execution.go
+++ b/query/execution.go
@@ -131,7 +131,7 @@
 	delays := make([]time.Duration, 0, e.partCount)
 	for i := range e.partCount {
 		state, _ := e.parts.Get(i)
-		delays = append(delays, e.relay.Picker.Delay(state.service))
+		delays = append(delays, e.partDelay(state.service))
 	}
 	if delay := quorumDelay(delays, e.quorum); delay > e.route.Objective/capacityWaitDivisor {
 		return delay
@@ -139,6 +139,16 @@
 	return 0
 }
 
+// partDelay returns the time until a replica of the service accepts a request,
+// which is estimated for a service without replicas.
+func (e *execution) partDelay(service string) time.Duration {
+	delay, ok := e.relay.Picker.Delay(service)
+	if !ok {
+		return noReplicaRetryAfter
+	}
+	return delay
+}
+
 // quorumDelay returns the time after which as many of the delays have passed as
 // needed.
 func quorumDelay(delays []time.Duration, needed int) time.Duration {
@@ -498,7 +508,7 @@
 		if s.merged {
 			needed--
 		} else {
-			delays = append(delays, e.relay.Picker.Delay(s.service))
+			delays = append(delays, e.partDelay(s.service))
 		}
 	}
 	return quorumDelay(delays, needed)
--- a/query/relay.go
+++ b/query/relay.go
@@ -18,6 +18,9 @@
 	// refusalRetryAfter is the time after which a refused caller may retry: about
 	// as long as a replica needs to free capacity.
 	refusalRetryAfter = 100 * time.Millisecond
+	// noReplicaRetryAfter is the time after which a caller may retry when a service
+	// has no replica; entries that lapsed are back within two seconds.
+	noReplicaRetryAfter = 250 * time.Millisecond
 	// noRoutesRetryAfter is the time after which a caller may retry when no
 	// configuration is known yet.
 	noRoutesRetryAfter = 500 * time.Millisecond
--- a/relay.go
+++ b/relay.go
@@ -15,8 +15,8 @@
 	// Done records the outcome of an attempt.
 	Done(a Attempt)
 	// Delay returns the time until a replica of the service accepts a request of this
-	// daemon, 0 if one does, or if there is none at all.
-	Delay(service string) time.Duration
+	// daemon, 0 if one does now. It reports false when no replica may get requests.
+	Delay(service string) (time.Duration, bool)
 	// Domains reports whether the service has a healthy replica in the daemon's own
 	// failure domain, and returns the other domains that have one, each once.
 	Domains(service string) (near bool, others []string)
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -272,7 +272,7 @@
 }
 
 // Delay implements [ramp.Picker].
-func (p *Picker) Delay(service string) time.Duration {
+func (p *Picker) Delay(service string) (time.Duration, bool) {
 	now := p.clock.Now()
 	var info ramp.PickInfo
 	for _, r := range p.instances.ofService(service) {
@@ -282,11 +282,11 @@
 		}
 		delay := s.sendDelay(now)
 		if delay == 0 {
-			return 0
+			return 0, true
 		}
 		info = info.WithThrottled(delay)
 	}
-	return info.Delay
+	return info.Delay, info.Throttled > 0
 }
 
 // Remove deletes the statistics of a replica that is gone.
