--- a/fleet/limit_shares.go
+++ b/fleet/limit_shares.go
@@ -60,37 +60,27 @@
 // daemons. Daemons in the replica's domain come first. The order differs by replica, so
 // that not the same daemons are without a share everywhere.
 func (l LimitShares) position(r ramp.Replica) (rank, local, total int) {
-	type candidate struct {
-		remote bool
-		hash   uint64
-		id     string // incarnation
-	}
-	compare := func(a, b candidate) int {
-		if a.remote != b.remote {
-			if b.remote {
-				return -1
-			}
-			return 1
+	remote := func(d ramp.Daemon) int {
+		if d.Domain == r.Domain {
+			return 0
 		}
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
-	}
-	candidateOf := func(d ramp.Daemon) candidate {
-		return candidate{d.Domain != r.Domain, ramp.HashKey(r.ID + " " + d.Incarnation), d.Incarnation}
+		return 1
 	}
-	self := candidateOf(l.Self)
-	candidates := []candidate{self}
+	local, total = 1-remote(l.Self), 1
 	for _, d := range l.Members.All() {
-		if d.Incarnation != l.Self.Incarnation {
-			candidates = append(candidates, candidateOf(d))
-		}
-	}
-	for _, c := range candidates {
-		if !c.remote {
-			local++
+		if d.Incarnation == l.Self.Incarnation {
+			continue
 		}
-		if compare(c, self) < 0 {
+		total++
+		local += 1 - remote(d)
+		before := cmp.Or(
+			cmp.Compare(remote(d), remote(l.Self)),
+			cmp.Compare(rendezvousHash(d, r.ID), rendezvousHash(l.Self, r.ID)),
+			cmp.Compare(d.Incarnation, l.Self.Incarnation),
+		)
+		if before < 0 {
 			rank++
 		}
 	}
-	return rank, local, max(len(candidates), l.FleetSize())
+	return rank, local, max(total, l.FleetSize())
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -211,11 +211,12 @@
 		return !other.daemon.Leaving && other.daemon.Incarnation != incarnation
 	})
 	slices.SortStableFunc(members, func(a, b ramp.Daemon) int {
-		return cmp.Compare(successorHash(b, incarnation), successorHash(a, incarnation))
+		return cmp.Compare(rendezvousHash(b, incarnation), rendezvousHash(a, incarnation))
 	})
 	return members[:min(successorCount, len(members))]
 }
 
-func successorHash(d ramp.Daemon, seed string) uint64 {
+// rendezvousHash returns the weight of a daemon for a key in rendezvous hashing.
+func rendezvousHash(d ramp.Daemon, seed string) uint64 {
 	return ramp.HashKey(seed + " " + d.Incarnation)
 }
