--- a/replica/limit.go
+++ b/replica/limit.go
@@ -24,8 +24,12 @@
 	probeSlotDivisor = 10
 )
 
-// neverDelay is the delay until a request may be sent under a rate of 0.
-const neverDelay = time.Duration(math.MaxInt64)
+// neverDelay is the delay until a request may be sent under a rate below minRate, which is
+// so low that the delay might not fit into a [time.Duration].
+const (
+	neverDelay = time.Duration(math.MaxInt64)
+	minRate    = 1e-6 // requests per second
+)
 
 // tokenBucket limits the requests to a replica. It is an immutable value.
 type tokenBucket struct {
@@ -72,7 +76,7 @@
 	switch {
 	case missing <= 0:
 		return 0
-	case b.rate <= 0:
+	case b.rate < minRate:
 		return neverDelay
 	}
 	return time.Duration(math.Ceil(missing / b.rate * float64(time.Second)))
@@ -88,7 +92,7 @@
 	// The fields below are unused without a rate limit.
 	share   ramp.LimitShare // this daemon's share of the rate limit
 	bucket  tokenBucket     // fills at the rate of share
-	probeAt time.Time       // when the next probe is due; each interval after it is another
+	probeAt time.Time       // when the next probe is due, and again at each interval after it
 }
 
 // withSignals returns the condition after a response. The argument share is this daemon's
