--- a/backend/reply.go
+++ b/backend/reply.go
@@ -54,14 +54,14 @@
 // boundedReader fails after a number of bytes.
 type boundedReader struct {
 	io.Reader
-	left  int64           // bytes that may still be read
-	error *ReplySizeError // returned after them
+	left     int64           // bytes that may still be read
+	exceeded *ReplySizeError // returned after them
 }
 
 // Read implements [io.Reader].
 func (b *boundedReader) Read(p []byte) (int, error) {
 	if b.left <= 0 {
-		return 0, b.error
+		return 0, b.exceeded
 	}
 	n, err := b.Reader.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
@@ -85,7 +85,7 @@
 // allow sets the number of bytes that may be read from now on. Part names what is read.
 func (r *replyReader) allow(limit int64, part string) {
 	r.source.left = limit - int64(r.Buffered())
-	r.source.error = &ReplySizeError{Part: part, Limit: limit}
+	r.source.exceeded = &ReplySizeError{Part: part, Limit: limit}
 }
 
 // readBody reads a body to its end.
