cmd/sycamoreramp: give each address to one daemon only in script tests

TestScripts failed once beside load, with the wait of 10 s for two daemons exceeded. Reproduced in 2 of 360 scripts on six processes at once: scripts of one process run at the same time, and the port that one had found free and not listened on yet was given to another, so one daemon could not listen. Each address is now given once; none of 360 fails.

--- a/cmd/sycamoreramp/script_test.go
+++ b/cmd/sycamoreramp/script_test.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -263,16 +264,28 @@
 	return caller, nil
 }
 
-// freeAddress returns an address that nothing listens on. The loopback IP number is
-// derived from the process id, so that test processes that run at the same time do not
-// take each other's ports.
+// takenAddresses holds the addresses that freeAddress has returned.
+var takenAddresses sync.Map
+
+// freeAddress returns an address that nothing listens on, each one once: scripts run at the
+// same time, and one may not listen on its address yet. The loopback IP number is derived
+// from the process id, so that test processes that run at the same time do not take each
+// other's ports.
 func freeAddress() (string, error) {
 	host := fmt.Sprintf("127.77.%d.%d", os.Getpid()/256%256, os.Getpid()%256)
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", err
+		}
+		if _, taken := takenAddresses.LoadOrStore(address, true); !taken {
+			return address, nil
+		}
 	}
-	return listener.Addr().String(), listener.Close()
 }
 
 // awaitDaemons waits until exactly the given number of daemons are registered and
