query, fleet: collect parts through the daemons that hold the connections

Cause: in a fleet of 117 daemons each one kept connections to all replicas.

Change: in a fleet of more than eight daemons the replicas of a service in a failure domain belong to one daemon there, by rendezvous hashing over the responsive members. First attempts, retries and hedges go through it. It uses replicas of its own domain only and says at once which parts have no healthy one, so that they are asked for elsewhere without costing an attempt. The domain is drawn by the daemons, the parts and the observed times of each domain, not by its name. Small fleets go on as before.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -137,7 +137,7 @@
 			Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: d.RetryWindow,
 		}, e.observer.FleetSize, e.clock),
 		Exchanger: backend.NewExchanger(platform.CallCodec{}, e.clock),
-		Collector: e.peers, Delegates: fleet.NewDelegateSelector(e.members, e.clock),
+		Collector: e.peers, Delegates: fleet.NewDelegateSelector(e.members, e.clock), Domain: d.Domain,
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
--- a/fleet/delegates.go
+++ b/fleet/delegates.go
@@ -19,18 +19,24 @@
 	retryAt  time.Time // earliest time of the next selection
 }
 
-// withFailure returns the state after another failure.
+// withFailure returns the state after another failure. Failures of calls that
+// were in flight together count once.
 func (h delegateState) withFailure(now time.Time) delegateState {
+	if now.Before(h.retryAt) {
+		return h
+	}
 	backoff := min(delegateBackoff<<min(h.failures, maxBackoffShift), maxDelegateBackoff)
 	return delegateState{failures: h.failures + 1, retryAt: now.Add(backoff)}
 }
 
-// DelegateSelector selects daemons of other failure domains that gather parts
-// on this daemon's behalf. It implements [ramp.DelegateSelector].
+// DelegateSelector selects the daemons that collect parts of answers. In each
+// failure domain the replicas of a service have one such daemon, chosen by
+// rendezvous hashing, so that few daemons share the connections to a replica and
+// each of them uses its own often. It implements [ramp.DelegateSelector].
 type DelegateSelector struct {
 	members    *Members
 	clock      ramp.Clock
-	selections atomic.Uint64                      // calls of Select so far; selects the next candidate
+	selections atomic.Uint64                      // selections in a small fleet so far; selects the next candidate
 	failed     *ramp.Table[string, delegateState] // by incarnation, of those whose last call failed
 }
 
@@ -42,20 +48,57 @@
 	}
 }
 
-// Select implements [ramp.DelegateSelector].
-func (h *DelegateSelector) Select(domain string) (ramp.Daemon, bool) {
-	now := h.clock.Now()
-	candidates := h.members.filter(func(m member) bool {
-		return m.daemon.Domain == domain && !m.daemon.Leaving && !m.unresponsive && m.daemon.Incarnation != h.members.self
-	})
-	turn := int(h.selections.Add(1))
-	for i := range candidates {
-		d := candidates[(turn+i)%len(candidates)]
-		if failed, _ := h.failed.Get(d.Incarnation); !now.Before(failed.retryAt) {
-			return d, true
+// Grouped implements [ramp.DelegateSelector]. In a small fleet each daemon itself uses
+// its connections to a replica often, and sees soon when the replica stalls.
+func (h *DelegateSelector) Grouped() bool { return h.members.members.Len() > smallFleet }
+
+// Select implements [ramp.DelegateSelector]. In a small fleet it selects one daemon for
+// all services, each candidate in turn, since fewer calls are cheaper there.
+func (h *DelegateSelector) Select(domain string, services []string) []ramp.Delegate {
+	candidates := h.candidates(domain)
+	selected := make([]ramp.Delegate, len(services))
+	if len(candidates) == 0 {
+		return selected
+	}
+	if !h.Grouped() {
+		turn := int(h.selections.Add(1) % uint64(len(candidates)))
+		candidates = candidates[turn : turn+1]
+	}
+	hashes := make([]uint64, len(candidates))
+	for i, d := range candidates {
+		hashes[i] = ramp.HashKey(d.Incarnation)
+	}
+	for i, service := range services {
+		key := ramp.HashKey(service)
+		best, highest := 0, uint64(0)
+		for n, hash := range hashes {
+			if weight := mixHashes(key, hash); weight >= highest {
+				best, highest = n, weight
+			}
 		}
+		d := candidates[best]
+		selected[i] = ramp.Delegate{Daemon: d, Self: d.Incarnation == h.members.self}
 	}
-	return ramp.Daemon{}, false
+	return selected
+}
+
+// Count implements [ramp.DelegateSelector].
+func (h *DelegateSelector) Count(domain string) int { return len(h.candidates(domain)) }
+
+// candidates returns the daemons of the failure domain that may be selected, this
+// daemon included, sorted by id.
+func (h *DelegateSelector) candidates(domain string) []ramp.Daemon {
+	now := h.clock.Now()
+	return h.members.filter(func(m member) bool {
+		if m.daemon.Domain != domain || m.daemon.Leaving {
+			return false
+		}
+		if m.daemon.Incarnation == h.members.self {
+			return true
+		}
+		failed, _ := h.failed.Get(m.daemon.Incarnation)
+		return !m.failedRecently(now) && !now.Before(failed.retryAt)
+	})
 }
 
 // Report implements [ramp.DelegateSelector].
@@ -67,3 +110,12 @@
 	}
 	h.failed.Update(d.Incarnation, func(old delegateState) delegateState { return old.withFailure(now) })
 }
+
+// mixHashes returns the weight of a daemon for a key in rendezvous hashing, from
+// the hashes of both. It is the finaliser of splitmix64.
+func mixHashes(key, daemon uint64) uint64 {
+	x := key<<32 ^ daemon
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/fleet/limit_shares_test.go
+++ b/fleet/limit_shares_test.go
@@ -152,7 +152,7 @@
 		}
 		busyTicks++
 		for n, p := range pickers {
-			_, pick, ok := p.Pick("s", nil, 2)
+			_, pick, ok := p.Pick(ramp.PickRequest{Service: "s", Limit: 2})
 			if !ok {
 				continue
 			}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -36,6 +36,7 @@
 	daemon       ramp.Daemon // its Leaving is never reset
 	lastSeen     time.Time   // last time that the store listed the member or the member sent a message
 	unresponsive bool        // whether a call to the member has failed since lastSeen
+	failedAt     time.Time   // last time that a call to the member failed; zero for never
 }
 
 // WithDaemon returns the member as seen now.
@@ -48,11 +49,18 @@
 }
 
 // WithUnresponsive returns the member after a call that failed.
-func (m member) WithUnresponsive() member {
+func (m member) WithUnresponsive(now time.Time) member {
 	m.unresponsive = true
+	m.failedAt = now
 	return m
 }
 
+// failedRecently reports whether a call to the member failed since it was last seen
+// and within [maxDelegateBackoff]. In a large fleet a member is seldom seen.
+func (m member) failedRecently(now time.Time) bool {
+	return m.unresponsive && now.Sub(m.failedAt) < maxDelegateBackoff
+}
+
 // live reports whether the member is responsive or was seen within
 // [unresponsiveGrace].
 func (m member) live(now time.Time) bool {
@@ -123,7 +131,8 @@
 // MarkUnresponsive records that a member did not answer. The next [Members.Replace] that
 // lists the member or [Members.MarkSeen] resets this.
 func (m *Members) MarkUnresponsive(incarnation string) {
-	m.members.UpdateExisting(incarnation, member.WithUnresponsive)
+	now := m.clock.Now()
+	m.members.UpdateExisting(incarnation, func(old member) member { return old.WithUnresponsive(now) })
 }
 
 // All returns the members sorted by id.
--- a/query/delegation.go
+++ b/query/delegation.go
@@ -8,70 +8,139 @@
 	ramp "sycamoreramp.example/sycamoreramp"
 )
 
-// Parameters of the collection of parts through daemons of other failure domains.
-const (
-	// minDelegatedParts is the least number of parts that a delegate is asked for.
-	// Fewer are fetched directly: their bytes are about as many as those of the
-	// call to the delegate and its answer.
-	minDelegatedParts = 2
-	// delegationOverhead is the time that a delegation adds to the replies of the
-	// replicas: a round trip between failure domains and the work of two daemons.
-	delegationOverhead = 8 * time.Millisecond
-)
+// delegationOverhead is the time that a delegation adds to the replies of the
+// replicas: a round trip between failure domains and the work of two daemons.
+const delegationOverhead = 8 * time.Millisecond
 
-// delegation is a set of parts that are collected through one daemon of another
-// failure domain, the delegate.
+// delegation is a set of parts that are collected through one daemon, the
+// delegate, from the replicas in its failure domain.
 type delegation struct {
 	delegate ramp.Daemon
-	indexes  []int // of the parts, in the execution
+	kind     ramp.AttemptKind
+	started  time.Duration // since the message was received
+	indexes  []int         // of the parts, in the execution
 }
 
-// planDelegations assigns the parts that have no replica in this daemon's
-// failure domain to delegates in as few other domains as possible. The other
-// parts are fetched directly.
-func (e *execution) planDelegations(services []string) []delegation {
-	partsByDomain := make(map[string][]int) // indexes of parts by the failure domain of a replica
-	for i, s := range services {
-		local, domains := e.relay.Picker.Domains(s)
-		if local {
+// grouped reports whether this daemon leaves all replicas to their delegates.
+func (r *Relay) grouped() bool { return r.Delegates != nil && r.Delegates.Grouped() }
+
+// dispatch starts an attempt for each of the parts: through the daemons that
+// collect the parts of their services, or directly where there is none. Unless the
+// fleet is grouped, only first attempts in other failure domains are delegated.
+func (e *execution) dispatch(indexes []int, kind ramp.AttemptKind) {
+	if !e.delegates || kind != ramp.First && !e.relay.grouped() {
+		for _, i := range indexes {
+			e.submit(i, kind)
+		}
+		return
+	}
+	direct, delegations := e.planDelegations(indexes, kind)
+	for _, i := range direct {
+		e.submit(i, kind)
+	}
+	for _, d := range delegations {
+		if d = e.reserve(d); len(d.indexes) == 0 {
 			continue
 		}
-		for _, d := range domains {
-			partsByDomain[d] = append(partsByDomain[d], i)
+		if !e.relay.Pool.Submit(func() { e.collectFrom(d) }) {
+			e.finishDelegation(d, false)
 		}
 	}
-	var delegations []delegation
-	assigned := make(map[int]bool)
-	for len(partsByDomain) > 0 {
-		domain, indexes := largestDomain(partsByDomain, assigned)
-		if len(indexes) < minDelegatedParts {
-			break
-		}
-		delete(partsByDomain, domain)
-		delegate, found := e.relay.Delegates.Select(domain)
-		if !found {
+}
+
+// planDelegations assigns the parts to delegates. It returns those that this
+// daemon fetches itself apart: it is their delegate, or none is known.
+func (e *execution) planDelegations(indexes []int, kind ramp.AttemptKind) (direct []int, delegations []delegation) {
+	grouped := e.relay.grouped()
+	healthy := make([][]string, len(indexes)) // failure domains with a healthy replica, by position in indexes
+	for n, i := range indexes {
+		state, _ := e.parts.Get(i)
+		healthy[n] = e.relay.Picker.Domains(state.service)
+	}
+	byDomain := make(map[string]*domainParts)
+	var domains []*domainParts
+	for n, i := range indexes {
+		state, _ := e.parts.Get(i)
+		domain, found := state.chooseDomain(healthy[n], e.relay.Domain, e.domainOrder(healthy))
+		if !found || domain == e.relay.Domain && !grouped {
+			direct = append(direct, i)
 			continue
 		}
-		for _, i := range indexes {
-			assigned[i] = true
+		if byDomain[domain] == nil {
+			byDomain[domain] = &domainParts{domain: domain}
+			domains = append(domains, byDomain[domain])
+		}
+		byDomain[domain].indexes = append(byDomain[domain].indexes, i)
+		byDomain[domain].services = append(byDomain[domain].services, state.service)
+	}
+	started := e.elapsed()
+	for _, d := range domains {
+		byDelegate := make(map[string]int) // position in delegations by the incarnation of the delegate
+		for n, delegate := range e.relay.Delegates.Select(d.domain, d.services) {
+			if delegate.Self || !delegate.Found() {
+				direct = append(direct, d.indexes[n])
+				continue
+			}
+			at, known := byDelegate[delegate.Incarnation]
+			if !known {
+				at = len(delegations)
+				byDelegate[delegate.Incarnation] = at
+				delegations = append(delegations, delegation{delegate: delegate.Daemon, kind: kind, started: started})
+			}
+			delegations[at].indexes = append(delegations[at].indexes, d.indexes[n])
 		}
-		delegations = append(delegations, delegation{delegate: delegate, indexes: indexes})
 	}
-	return delegations
+	return direct, delegations
 }
 
-// largestDomain returns the failure domain with the most unassigned parts, and
-// the indexes of those parts. Ties go to the domain whose name sorts first.
-func largestDomain(partsByDomain map[string][]int, assigned map[int]bool) (string, []int) {
-	var best string
-	var most []int
-	for domain, indexes := range partsByDomain {
-		unassigned := slices.DeleteFunc(slices.Clone(indexes), func(i int) bool { return assigned[i] })
-		if len(unassigned) > len(most) || len(unassigned) == len(most) && domain < best {
-			best, most = domain, unassigned
+// domainParts are the parts that are to be collected in a failure domain.
+type domainParts struct {
+	domain   string
+	indexes  []int    // of the parts
+	services []string // of the parts, in the same order
+}
+
+// domainOrder returns the order in which the request uses failure domains. It is
+// drawn once, from those of the given lists of domains.
+func (e *execution) domainOrder(lists [][]string) []string {
+	e.orderOnce.Do(func() {
+		parts := make(map[string]int)
+		for _, domain := range slices.Concat(lists...) {
+			parts[domain]++
+		}
+		e.order = e.relay.placement.order(parts, e.relay.Delegates.Count)
+	})
+	return e.order
+}
+
+// reserve records the delegation's attempts as pending and returns it with the
+// parts that it is to collect: those that are open, whose attempts are not used
+// up, and whose repetition the retry budget allows.
+func (e *execution) reserve(d delegation) delegation {
+	var reserved []int
+	for _, i := range d.indexes {
+		state, _ := e.parts.Get(i)
+		if state.sentCount() > 0 && (state.sentCount() >= e.route.MaxAttempts || !e.relay.Budget.Allow(state.service)) {
+			e.giveUp(i)
+			continue
+		}
+		open := false
+		e.parts.Update(i, func(s part) part {
+			if open = !s.closed && s.sentCount() < e.route.MaxAttempts; !open {
+				return s
+			}
+			return s.WithAttempt(ramp.Attempt{
+				Number: int(e.sequence.Add(1)) - 1, Kind: d.kind, Shard: ramp.Shard{ID: s.service}, Delegate: d.delegate.ID,
+				Replica: ramp.Replica{ID: d.delegate.ID, Domain: d.delegate.Domain},
+				Started: d.started + delegationOverhead, Outcome: ramp.Pending,
+			})
+		})
+		if open {
+			reserved = append(reserved, i)
 		}
 	}
-	return best, most
+	d.indexes = reserved
+	return d
 }
 
 // collectFrom asks the delegate for its parts and merges the batches that it
@@ -82,27 +151,50 @@
 		state, _ := e.parts.Get(i)
 		services = append(services, state.service)
 	}
+	domain := d.delegate.Domain
+	e.relay.placement.start(domain, len(d.indexes))
+	defer e.relay.placement.end(domain, len(d.indexes))
 	answered := false
 	err := e.relay.Collector.Collect(e.context, d.delegate, ramp.CollectRequest{
-		Message: e.message, Route: e.route, Services: services, Deadline: e.deadline,
+		Message: e.message, Route: e.route, Services: services, Deadline: e.deadline, Separate: d.repeats(),
 	}, func(b ramp.Batch) {
 		if !answered {
-			e.relay.Delegates.Report(d.delegate, e.elapsed() < e.hedgeDelay+2*delegationOverhead)
+			e.observeDelegate(d, float64(len(b.Pending))/float64(len(d.indexes)))
 		}
 		answered = true
 		e.mergeBatch(d, b)
 	})
-	if !answered && (e.context.Err() == nil || e.elapsed() >= e.hedgeDelay+2*delegationOverhead) {
+	if !answered && (e.context.Err() == nil || !d.repeats() && e.elapsed()-d.started >= e.delegateWait()) {
 		e.relay.Delegates.Report(d.delegate, false)
+		e.relay.placement.observe(domain, e.elapsed()-d.started, 1, e.route.Objective)
 		e.relay.Log.Info("delegate returned no parts", "request", e.message.ID, "daemon", d.delegate.ID,
-			"parts", len(d.indexes), "elapsed", e.elapsed(), "error", err)
+			"parts", len(d.indexes), "elapsed", e.elapsed()-d.started, "error", err)
 	}
 	e.finishDelegation(d, err == nil)
 }
 
-// mergeBatch merges a batch and retries the parts that the delegate does not
-// have yet. It overwrites a part that was received in another way meanwhile,
-// since the records of a batch are not separated by part.
+// repeats reports whether earlier attempts were made for the parts. The delegate
+// then sends each part when it arrives, and otherwise most of them together.
+func (d delegation) repeats() bool { return d.kind != ramp.First }
+
+// delegateWait returns the time within which a delegate in order sends its first
+// batch.
+func (e *execution) delegateWait() time.Duration { return e.hedgeDelay + 2*delegationOverhead }
+
+// observeDelegate records the first batch of a delegation, of whose parts the
+// given share was missing.
+func (e *execution) observeDelegate(d delegation, missing float64) {
+	elapsed := e.elapsed() - d.started
+	e.relay.Delegates.Report(d.delegate, d.repeats() || elapsed < e.delegateWait())
+	if !d.repeats() {
+		e.relay.placement.observe(d.delegate.Domain, elapsed, missing, e.route.Objective)
+	}
+}
+
+// mergeBatch merges a batch and repeats the attempts of the parts that the
+// delegate does not have yet. The records of a batch with several parts are not
+// separated by part, so it replaces parts that were received in another way
+// meanwhile. These came one by one: a part is in one such batch at most.
 func (e *execution) mergeBatch(d delegation, b ramp.Batch) {
 	e.batchMutex.Lock()
 	if e.batchesClosed {
@@ -117,8 +209,10 @@
 		}
 		isNew := false
 		state := e.parts.Update(d.indexes[received.Index], func(s part) part {
-			isNew = !s.merged
-			return s.withDelegationOutcome(ramp.Merged, e.elapsed()).WithMerged(response)
+			if isNew = !s.merged; !isNew && len(b.Received) == 1 {
+				return s.withDelegationOutcome(d.delegate.ID, ramp.Late, e.elapsed())
+			}
+			return s.withDelegationOutcome(d.delegate.ID, ramp.Merged, e.elapsed()).WithMerged(response)
 		})
 		if isNew {
 			added = append(added, state)
@@ -130,72 +224,125 @@
 		e.received.Add(1)
 		e.partDone()
 	}
+	var unsent, sent []int
 	for _, pending := range b.Pending {
 		index := d.indexes[pending.Index]
-		e.parts.Update(index, func(s part) part { return s.withDelegatedReplica(pending.Replica) })
-		e.submit(index, ramp.Retry)
+		if pending.Replica == "" {
+			e.parts.Update(index, func(s part) part { return s.withDelegationUnsent(d.delegate.ID, e.elapsed()) })
+			unsent = append(unsent, index)
+			continue
+		}
+		e.parts.Update(index, func(s part) part { return s.withDelegatedReplica(d.delegate.ID, pending.Replica) })
+		sent = append(sent, index)
 	}
+	e.dispatch(unsent, d.kind)
+	e.dispatch(sent, ramp.Retry)
 }
 
 // finishDelegation records the outcome of the delegation's pending attempts,
-// and retries the parts that the delegate did not send.
+// and repeats those of the parts that the delegate did not send.
 func (e *execution) finishDelegation(d delegation, complete bool) {
 	outcome := ramp.Failed
 	if !complete {
 		outcome = ramp.Unreachable
 	}
+	var open []int
 	for _, i := range d.indexes {
-		open := false
 		e.parts.Update(i, func(s part) part {
-			open = !s.closed
-			return s.withDelegationOutcome(outcome, e.elapsed())
+			if !s.closed && s.awaitsDelegate(d.delegate.ID) {
+				open = append(open, i)
+			}
+			return s.withDelegationOutcome(d.delegate.ID, outcome, e.elapsed())
 		})
-		if open {
-			e.submit(i, ramp.Retry)
-		}
 	}
+	e.dispatch(open, ramp.Retry)
 }
 
 // HandleCollect implements [ramp.CollectHandler]. It sends one attempt to each
-// service and leaves retries and hedges to the daemon that asks, whose retry
-// budget counts them.
+// service, in a grouped fleet to a healthy replica in this daemon's failure domain.
+// It leaves retries, hedges and the services without such a replica to the daemon
+// that asks, whose retry budget counts them.
 func (r *Relay) HandleCollect(ctx context.Context, c ramp.CollectRequest, send func(ramp.Batch) error) error {
 	routing, _ := r.Routes.Current()
 	started := r.Clock.Now()
 	e := r.newExecution(ctx, c.Message, c.Route, routing, started, c.Deadline)
 	defer e.cancel()
+	e.bound = r.grouped()
 	e.mergedParts = make(chan int, e.partCount)
-	for i := range e.partCount {
-		e.submit(i, ramp.First)
+	reported := make(map[int]bool)
+	if err := e.startCollection(reported, send); err != nil {
+		return err
 	}
+	if !c.Separate {
+		if err := e.sendFirstBatch(ctx, reported, send); err != nil {
+			return err
+		}
+	}
+	err := e.sendLateParts(ctx, reported, send)
+	r.Log.Info("parts collected", "request", c.Message.ID, "route", c.Route.Name, "wanted", e.partCount,
+		"in", e.received.Load(), "elapsed", e.elapsed())
+	return err
+}
+
+// sendFirstBatch sends the parts that arrive until a hedge would start as one
+// batch.
+func (e *execution) sendFirstBatch(ctx context.Context, reported map[int]bool, send func(ramp.Batch) error) error {
 	hedgeDue := make(chan struct{})
-	defer r.Clock.AfterFunc(e.hedgeDelay, func() { close(hedgeDue) })()
+	defer e.relay.Clock.AfterFunc(e.hedgeDelay, func() { close(hedgeDue) })()
 	select {
 	case <-e.done:
 	case <-hedgeDue:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	sent := make(map[int]bool)
-	first := e.firstBatch(c.Route.TopK, sent)
-	if err := send(first); err != nil {
-		return err
+	batch := e.firstBatch(e.route.TopK, reported)
+	if len(batch.Received)+len(batch.Pending) == 0 {
+		return nil
 	}
-	err := e.sendLateParts(ctx, sent, send)
-	r.Log.Info("parts collected", "request", c.Message.ID, "route", c.Route.Name, "wanted", e.partCount,
-		"first", len(first.Received), "in", e.received.Load(), "elapsed", e.elapsed())
-	return err
+	return send(batch)
+}
+
+// startCollection starts the attempts of a collection. In a grouped fleet it sends a
+// batch with the parts that have no healthy replica in this daemon's failure domain,
+// if there are any, so that the daemon that asks can get them elsewhere at once.
+func (e *execution) startCollection(reported map[int]bool, send func(ramp.Batch) error) error {
+	var batch ramp.Batch
+	var usable []int
+	for i := range e.partCount {
+		state, _ := e.parts.Get(i)
+		domains := e.relay.Picker.Domains(state.service)
+		if !e.bound || len(domains) > 0 && domains[0] == e.relay.Domain {
+			usable = append(usable, i)
+			continue
+		}
+		reported[i] = true
+		batch.Pending = append(batch.Pending, ramp.PendingPart{Index: i})
+	}
+	for _, i := range usable {
+		e.submit(i, ramp.First)
+	}
+	for _, p := range batch.Pending {
+		e.giveUp(p.Index)
+	}
+	if len(batch.Pending) == 0 {
+		return nil
+	}
+	return send(batch)
 }
 
 // firstBatch returns the parts received so far as one batch, which also lists
-// those still pending. It marks the received parts as sent.
-func (e *execution) firstBatch(count int, sent map[int]bool) ramp.Batch {
+// those still pending. It leaves out the reported parts, and marks the received
+// ones as reported.
+func (e *execution) firstBatch(count int, reported map[int]bool) ramp.Batch {
 	var batch ramp.Batch
 	var bodies [][]byte
 	for i := range e.partCount {
+		if reported[i] {
+			continue
+		}
 		s, _ := e.parts.Get(i)
 		if s.merged {
-			sent[i] = true
+			reported[i] = true
 			bodies = append(bodies, s.response.Body)
 			batch.Received = append(batch.Received, ramp.ReceivedPart{Index: i, Stamp: s.response.Stamp})
 			continue
@@ -212,7 +359,7 @@
 
 // sendLateParts sends each part received after the first batch as a batch of
 // its own, until all parts are received or given up, or ctx ends.
-func (e *execution) sendLateParts(ctx context.Context, sent map[int]bool, send func(ramp.Batch) error) error {
+func (e *execution) sendLateParts(ctx context.Context, reported map[int]bool, send func(ramp.Batch) error) error {
 	for {
 		var index int
 		select {
@@ -229,10 +376,10 @@
 				return ctx.Err()
 			}
 		}
-		if sent[index] {
+		if reported[index] {
 			continue
 		}
-		sent[index] = true
+		reported[index] = true
 		s, _ := e.parts.Get(index)
 		err := send(ramp.Batch{
 			Received: []ramp.ReceivedPart{{Index: index, Stamp: s.response.Stamp}},
--- a/query/delegation_test.go
+++ b/query/delegation_test.go
@@ -68,8 +68,25 @@
 }
 
 // Select implements [ramp.DelegateSelector].
-func (d *fakeDelegate) Select(domain string) (ramp.Daemon, bool) {
-	return ramp.Daemon{ID: "helper", Domain: domain}, domain == "far"
+func (d *fakeDelegate) Select(domain string, services []string) []ramp.Delegate {
+	selected := make([]ramp.Delegate, len(services))
+	for i := range selected {
+		if domain == "far" {
+			selected[i].Daemon = ramp.Daemon{ID: "helper", Incarnation: "helper", Domain: domain}
+		}
+	}
+	return selected
+}
+
+// Grouped implements [ramp.DelegateSelector].
+func (d *fakeDelegate) Grouped() bool { return false }
+
+// Count implements [ramp.DelegateSelector].
+func (d *fakeDelegate) Count(domain string) int {
+	if domain == "far" {
+		return 1
+	}
+	return 0
 }
 
 // Report implements [ramp.DelegateSelector].
@@ -170,7 +187,7 @@
 			Replica: ramp.Replica{ID: id, Address: id, Domain: where}, Service: name, State: ramp.Live,
 		})
 	}
-	relay.Picker, relay.Exchanger = newPicker(instances, domain, relay.Clock), exchange
+	relay.Picker, relay.Exchanger, relay.Domain = newPicker(instances, domain, relay.Clock), exchange, domain
 	return relay
 }
 
@@ -178,15 +195,15 @@
 // late answers.
 func TestDelegateSelection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		self := ramp.Daemon{ID: "d0", Incarnation: "i0", Domain: "z"}
+		self := ramp.Daemon{ID: "d0", Incarnation: "i0", Domain: "y"}
 		members := fleet.NewMembers(self, ramp.SystemClock{})
 		d1 := ramp.Daemon{ID: "d1", Incarnation: "i1", Domain: "z"}
 		members.Replace([]ramp.Daemon{self, d1, {ID: "d2", Incarnation: "i2", Domain: "z", Leaving: true}})
 		h := fleet.NewDelegateSelector(members, ramp.SystemClock{})
 		var b strings.Builder
 		record := func(what string) {
-			d, ok := h.Select("z")
-			fmt.Fprintf(&b, "%s: %s %t\n", what, d.ID, ok)
+			d := h.Select("z", []string{"s"})[0]
+			fmt.Fprintf(&b, "%s: %s %t\n", what, d.ID, d.Found())
 		}
 		record("initially")
 		h.Report(d1, false)
--- a/query/execution.go
+++ b/query/execution.go
@@ -23,6 +23,11 @@
 	capacityWaitDivisor = 4                    // a part waits for 1/4 of the objective; longer only delays the refusal
 )
 
+// connectionHolders is the number of daemons among which the connections to a
+// replica of a gathered route are divided: the daemon that collects its parts, the
+// one that does so after its failure, and two parts for the other daemons.
+const connectionHolders = 4
+
 // returnSpread is the greatest part of a delay that is added to the time after
 // which a refused caller may retry.
 const returnSpread = 0.25
@@ -54,8 +59,13 @@
 	remaining      atomic.Int64 // parts neither received nor given up
 	received       atomic.Int64 // parts that were received
 	quorumSuffices atomic.Bool  // set once the wait for a complete answer is over
+	delegates      bool         // attempts may be made through other daemons
+	bound          bool         // only replicas in this daemon's failure domain may be used
 	mergedParts    chan int     // indexes of received parts; nil unless this daemon is the delegate
 
+	orderOnce sync.Once // sets order
+	order     []string  // see [execution.domainOrder]
+
 	batchMutex    *ramp.Mutex // held while a batch is merged, and while the parts are closed
 	batchesClosed bool        // no batch is merged any more; guarded by batchMutex
 
@@ -79,6 +89,7 @@
 	if !route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
+	e.delegates = route.Gathered() && route.MaxAttempts > 1 && r.Delegates != nil && len(m.Body) == 0
 	e.context, e.cancel = context.WithCancel(ctx)
 	e.remaining.Store(int64(e.partCount))
 	for i, s := range services {
@@ -109,7 +120,11 @@
 		r.TotalParts = e.partCount
 		return r, e.refuse(ramp.ReasonReplica, false, delay)
 	}
-	e.start()
+	all := make([]int, e.partCount)
+	for i := range all {
+		all[i] = i
+	}
+	e.dispatch(all, ramp.First)
 	callerGone := ctx.Done()
 	if !e.route.Idempotent {
 		callerGone = nil
@@ -159,34 +174,6 @@
 	return delays[min(needed, len(delays))-1]
 }
 
-// start makes the first attempts, or delegates them to daemons of other failure
-// domains.
-func (e *execution) start() {
-	delegated := make(map[int]bool)
-	if e.route.Gathered() && e.route.MaxAttempts > 1 && e.relay.Delegates != nil && len(e.message.Body) == 0 {
-		for _, d := range e.planDelegations(e.route.Gather) {
-			started := e.elapsed() + delegationOverhead
-			for _, i := range d.indexes {
-				delegated[i] = true
-				e.parts.Update(i, func(s part) part {
-					return s.WithAttempt(ramp.Attempt{
-						Number: int(e.sequence.Add(1)) - 1, Kind: ramp.First, Shard: ramp.Shard{ID: s.service}, Delegated: true,
-						Replica: ramp.Replica{ID: d.delegate.ID}, Started: started, Outcome: ramp.Pending,
-					})
-				})
-			}
-			if !e.relay.Pool.Submit(func() { e.collectFrom(d) }) {
-				e.finishDelegation(d, false)
-			}
-		}
-	}
-	for i := range e.partCount {
-		if !delegated[i] {
-			e.submit(i, ramp.First)
-		}
-	}
-}
-
 // fullAnswerWait returns how long to wait for a complete answer before the
 // quorum suffices. The caller's earlier wait counts towards the objective. Once
 // the objective has passed a quick answer gains nothing, so a caller that asks
@@ -220,11 +207,13 @@
 		return
 	}
 	elapsed := e.elapsed()
+	var overdue []int
 	for i := range e.partCount {
 		if state, _ := e.parts.Get(i); state.overdue(e.hedgeDelay, elapsed) {
-			e.submit(i, ramp.Hedge)
+			overdue = append(overdue, i)
 		}
 	}
+	e.dispatch(overdue, ramp.Hedge)
 	e.relay.Clock.AfterFunc(e.hedgeDelay/hedgeSweepDivisor, e.hedgeSlowParts)
 }
 
@@ -250,9 +239,11 @@
 		e.giveUp(index)
 		return
 	}
-	instance, pick, ok := e.relay.Picker.Pick(state.service, state.attempts, e.connectionShare(state.service))
+	instance, pick, ok := e.relay.Picker.Pick(ramp.PickRequest{
+		Service: state.service, Tried: state.attempts, Limit: e.connectionShare(state.service), Near: e.bound,
+	})
 	if !ok {
-		if kind == ramp.Hedge || !e.retryForCapacity(index, kind, pick) {
+		if kind == ramp.Hedge || e.bound || !e.retryForCapacity(index, kind, pick) {
 			if pick.Throttled > 0 {
 				e.relay.ObserveWithheld(state.service)
 			}
@@ -318,9 +309,15 @@
 }
 
 // connectionShare returns this daemon's share of the connections to each
-// replica of the service. It is at least 1.
+// replica of the service. It is at least 1. In a grouped fleet the replicas of a
+// gathered route are used by the daemons that collect its parts, and by others only
+// when these fail.
 func (e *execution) connectionShare(service string) int {
-	return max(1, e.routing.MaxConnections[service]/max(1, e.relay.FleetSize()))
+	holders := max(1, e.relay.FleetSize())
+	if e.route.Gathered() && e.relay.grouped() {
+		holders = min(holders, connectionHolders)
+	}
+	return max(1, e.routing.MaxConnections[service]/holders)
 }
 
 // finish records the outcome of an attempt, and merges its response, retries it
--- a/query/part.go
+++ b/query/part.go
@@ -65,30 +65,73 @@
 	return p
 }
 
-// withDelegationOutcome returns the part with the outcome of its delegated
-// attempts that are pending. Elapsed is the time since the message was
+// withDelegationOutcome returns the part with the outcome of its attempt through
+// the delegate, if that is pending. Elapsed is the time since the message was
 // received.
-func (p part) withDelegationOutcome(outcome ramp.Outcome, elapsed time.Duration) part {
-	for _, a := range p.attempts {
-		if a.Delegated && a.Outcome == ramp.Pending {
-			p = p.WithOutcome(a.WithOutcome(outcome, max(0, elapsed-a.Started), true))
-		}
+func (p part) withDelegationOutcome(delegate string, outcome ramp.Outcome, elapsed time.Duration) part {
+	if a, ok := p.delegatedAttempt(delegate); ok {
+		return p.WithOutcome(a.WithOutcome(outcome, max(0, elapsed-a.Started), true))
+	}
+	return p
+}
+
+// withDelegationUnsent returns the part after the delegate said that it sent the
+// request to no replica.
+func (p part) withDelegationUnsent(delegate string, elapsed time.Duration) part {
+	if a, ok := p.delegatedAttempt(delegate); ok {
+		return p.WithOutcome(a.WithOutcome(ramp.NotStarted, max(0, elapsed-a.Started), false))
 	}
 	return p
 }
 
 // withDelegatedReplica returns the part with the id of the replica that the
-// delegate sent its attempt to. It does nothing when the id is empty.
-func (p part) withDelegatedReplica(replica string) part {
-	p.attempts = slices.Clone(p.attempts)
-	for i := range p.attempts {
-		if p.attempts[i].Delegated && replica != "" {
-			p.attempts[i].Replica.ID = replica
-		}
+// delegate sent its attempt to.
+func (p part) withDelegatedReplica(delegate, replica string) part {
+	if a, ok := p.delegatedAttempt(delegate); ok {
+		a.Replica.ID = replica
+		return p.WithOutcome(a)
 	}
 	return p
 }
 
+// awaitsDelegate reports whether the attempt through the delegate is pending.
+func (p part) awaitsDelegate(delegate string) bool {
+	_, ok := p.delegatedAttempt(delegate)
+	return ok
+}
+
+// delegatedAttempt returns the pending attempt through the delegate.
+func (p part) delegatedAttempt(delegate string) (ramp.Attempt, bool) {
+	for _, a := range p.attempts {
+		if a.Delegate == delegate && a.Outcome == ramp.Pending {
+			return a, true
+		}
+	}
+	return ramp.Attempt{}, false
+}
+
+// chooseDomain returns the failure domain for the next attempt, out of those with
+// a healthy replica: the daemon's own one if there is any, or else the first one
+// in the given order. It excludes the domains of earlier attempts, and reports
+// false when no domain is left.
+func (p part) chooseDomain(healthy []string, own string, order []string) (string, bool) {
+	healthy = slices.DeleteFunc(healthy, func(domain string) bool {
+		return slices.ContainsFunc(p.attempts, func(a ramp.Attempt) bool { return a.Replica.Domain == domain })
+	})
+	if slices.Contains(healthy, own) {
+		return own, true
+	}
+	for _, domain := range order {
+		if slices.Contains(healthy, domain) {
+			return domain, true
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy[0], true // it had no healthy replica when the order was drawn
+	}
+	return "", false
+}
+
 // pendingCount returns the number of pending attempts.
 func (p part) pendingCount() int {
 	n := 0
--- a/query/relay.go
+++ b/query/relay.go
@@ -39,6 +39,7 @@
 	Exchanger      ramp.Exchanger
 	Collector      ramp.Collector
 	Delegates      ramp.DelegateSelector               // nil to send to all replicas directly
+	Domain         string                              // this daemon's own failure domain
 	FleetSize      func() int                          // returns how many daemons share the connections to replicas
 	ReplyMargin    time.Duration                       // part of a route's objective reserved for sending the answer
 	Observe        func(d ramp.RelayResult, err error) // called once for each message
@@ -48,12 +49,14 @@
 	// of the service that were left accept no request of this daemon yet.
 	ObserveWithheld func(service string)
 
-	splitCount   atomic.Uint64                      // messages on split routes so far
+	splitCount   atomic.Uint64 // messages on split routes so far
+	placement    *placement
 	longestWaits *ramp.Table[string, time.Duration] // longest wait that any caller stated, by route
 }
 
 // Init prepares the relay for its first call and returns it.
 func (r *Relay) Init() *Relay {
+	r.placement = newPlacement(r.Clock)
 	r.longestWaits = ramp.NewTable[string, time.Duration](ramp.RankBudgets)
 	return r
 }
--- a/relay.go
+++ b/relay.go
@@ -8,18 +8,25 @@
 // Picker picks replicas of services based on the outcomes of the daemon's own
 // attempts.
 type Picker interface {
-	// Pick returns the replica for an attempt and how it was picked. It excludes the
-	// replicas in tried and those with at least limit attempts in flight. The attempt
-	// counts as in flight until Done is called for it.
-	Pick(service string, tried []Attempt, limit int) (Instance, PickInfo, bool)
+	// Pick returns the replica for an attempt and how it was picked. The attempt counts
+	// as in flight until Done is called for it.
+	Pick(r PickRequest) (Instance, PickInfo, bool)
 	// Done records the outcome of an attempt.
 	Done(a Attempt)
 	// Delay returns the time until a replica of the service accepts a request of this
 	// daemon, 0 if one does now. It reports false when no replica may get requests.
 	Delay(service string) (time.Duration, bool)
-	// Domains reports whether the service has a healthy replica in the daemon's own
-	// failure domain, and returns the other domains that have one, each once.
-	Domains(service string) (near bool, others []string)
+	// Domains returns the failure domains in which the service has a healthy replica,
+	// each once, the daemon's own domain first if it is among them.
+	Domains(service string) []string
+}
+
+// PickRequest is an attempt that needs a replica.
+type PickRequest struct {
+	Service string
+	Tried   []Attempt // earlier attempts, whose replicas are excluded; never modified
+	Limit   int       // replicas with at least that many attempts in flight are excluded
+	Near    bool      // only replicas in the daemon's own failure domain
 }
 
 // Health is the health of a replica when it was picked.
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -318,7 +318,7 @@
 			s.Update(far)
 			p := newTestPicker(s)
 			test.prepare(p, s)
-			i, info, ok := p.Pick("s", nil, room)
+			i, info, ok := p.Pick(ramp.PickRequest{Service: "s", Limit: room})
 			fmt.Fprintf(&b, "%s: %s %s found=%t", test.name, i.ID, info.Health, ok)
 			if info.Throttled > 0 {
 				fmt.Fprintf(&b, " throttled=%d delay=%s", info.Throttled, info.Delay)
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -152,22 +152,25 @@
 }
 
 // Pick implements [ramp.Picker].
-func (p *Picker) Pick(service string, tried []ramp.Attempt, room int) (ramp.Instance, ramp.PickInfo, bool) {
+func (p *Picker) Pick(request ramp.PickRequest) (ramp.Instance, ramp.PickInfo, bool) {
 	now := p.clock.Now()
 	var best registration
 	var info ramp.PickInfo
 	shortest := 0.0
-	for _, r := range p.instances.ofService(service) {
+	for _, r := range p.instances.ofService(request.Service) {
+		if request.Near && r.Domain != p.domain {
+			continue
+		}
 		s := p.statsOf(r)
 		health, ok := p.health(r, s, now)
-		if !ok || wasTried(tried, r.ID) {
+		if !ok || wasTried(request.Tried, r.ID) {
 			continue
 		}
 		if delay := s.sendDelay(now); delay > 0 {
 			info = info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= room {
+		if s.InFlight >= request.Limit {
 			info.Saturated++
 			continue
 		}
@@ -293,19 +296,22 @@
 func (p *Picker) Remove(id string) { p.stats.Delete(id) }
 
 // Domains implements [ramp.Picker].
-func (p *Picker) Domains(service string) (near bool, others []string) {
+func (p *Picker) Domains(service string) []string {
 	now := p.clock.Now()
+	var domains []string
 	for _, r := range p.instances.ofService(service) {
 		s := p.statsOf(r)
-		if health, ok := p.health(r, s, now); !ok || health != ramp.HealthOK || !s.healthy(now) || s.sendDelay(now) > 0 {
+		health, ok := p.health(r, s, now)
+		if !ok || health != ramp.HealthOK || !s.healthy(now) || s.sendDelay(now) > 0 {
 			continue
 		}
-		if r.Domain == p.domain {
-			return true, nil
-		}
-		if !slices.Contains(others, r.Domain) {
-			others = append(others, r.Domain)
+		switch {
+		case slices.Contains(domains, r.Domain):
+		case r.Domain == p.domain:
+			domains = slices.Insert(domains, 0, r.Domain)
+		default:
+			domains = append(domains, r.Domain)
 		}
 	}
-	return false, others
+	return domains
 }
