daemon, query: answer every request of a planned stop

Cause: a leaving daemon took requests for half of the grace period and passed them on with their whole time budget; what was in flight at the end was cut off, also what may not be repeated. After half of the grace period net/http's Shutdown reads whole requests on accepted connections and closes these without an answer.

Change: a leaving daemon knows when its last answers are due. A request is passed on only when the time left covers the route's objective and its slowest recent answers, and its time budget ends then; otherwise it is refused at once as not run, with a time to return. What is in flight then is answered. The daemon listens until its callers' connections are closed, and waits for the parts that it collects for other daemons.

TestEdgeAnswersUntilItStops: before, late requests were cut off in both cases and Run ended with an error; now 502 or 504 for what may have run and 503 for what has not.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -48,6 +48,8 @@
 	lingerSlack = 500 * time.Millisecond
 	// exitMargin is the time by which the shutdown ends before the platform's kill.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the time before the shutdown ends by which callers are answered.
+	answerMargin = 200 * time.Millisecond
 	// logFlushTimeout bounds the time for writing the last log lines at exit.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -74,8 +76,11 @@
 	metrics     *metrics
 	burnRates   *burn.Recorder
 	idleCloser  *idleCloser
+	front       *http.Server // serves callers; one of servers
 	servers     []server
-	leaving     chan struct{} // closed when the daemon starts to leave
+	leaving     chan struct{}             // closed when the daemon starts to leave
+	answerBy    atomic.Pointer[time.Time] // when answers must have been sent; set before leaving is closed
+	answersDue  chan struct{}             // closed at answerBy
 }
 
 // server is an HTTP server with its listening address.
@@ -106,6 +111,7 @@
 		attemptPool: ramp.NewPool(attemptWorkers, attemptQueue), gossipPool: ramp.NewPool(gossipWorkers, gossipQueue),
 		peers: peer.NewClient("", clock), routes: fleet.NewRoutes(), instances: replica.NewInstances(d.DrainBound, clock),
 		metrics: newMetrics(), burnRates: burn.NewRecorder(clock), leaving: make(chan struct{}),
+		answersDue: make(chan struct{}),
 	}
 	e.setSeeds(d)
 	e.members = fleet.NewMembers(e.self, clock)
@@ -139,11 +145,13 @@
 		Exchanger: backend.NewExchanger(platform.CallCodec{}, e.clock),
 		Collector: e.peers, Delegates: fleet.NewDelegateSelector(e.members, e.clock), Domain: d.Domain,
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
+		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
 	e.peerServer.WithCollectHandler(relay.Init())
 	front := platform.CallerHandler{Messages: relay, Routing: e.routes, Leaving: e.isLeaving}
-	e.addServer(d.CallerAddress, front).ConnState = e.idleCloser.Observe
+	e.front = e.addServer(d.CallerAddress, front)
+	e.front.ConnState = e.idleCloser.Observe
 	directory := http.NewServeMux()
 	directory.HandleFunc("GET /resolve", platform.AddressHandler(e.members, addressTTL(d)))
 	e.addServer(d.DirectoryAddress, directory)
@@ -211,9 +219,15 @@
 }
 
 // leave announces that this daemon leaves, keeps serving until callers' cached
-// addresses have expired, and waits for the requests in flight. It returns an error
-// if some are cut off because the grace period is about to end.
+// addresses have expired, and waits for the requests in flight. It listens until the
+// callers' connections are closed, since a server that shuts down reads requests and
+// drops them. It returns an error if some are cut off because the grace period is
+// about to end.
 func (e *Edge) leave() error {
+	serving := e.deployment.GracePeriod - exitMargin - answerMargin
+	answerBy := e.clock.Now().Add(serving)
+	e.answerBy.Store(&answerBy)
+	defer e.clock.AfterFunc(serving, func() { close(e.answersDue) })()
 	close(e.leaving)
 	linger := min(addressCacheFactor*addressTTL(e.deployment)+lingerSlack, e.deployment.GracePeriod/2)
 	e.log.Info("daemon leaving", "daemon", e.self.ID, "linger", linger, "grace", e.deployment.GracePeriod)
@@ -221,11 +235,22 @@
 	defer cancel()
 	defer e.clock.AfterFunc(e.deployment.GracePeriod-exitMargin, cancel)()
 	_ = ramp.Sleep(ctx, e.clock, linger) // returns early if ctx ends
+	e.front.SetKeepAlivesEnabled(false)
+	e.idleCloser.AwaitClosed(e.answersDue)
 	var errs error
 	for _, s := range e.servers {
 		errs = errors.Join(errs, s.Shutdown(ctx))
 	}
-	return errs
+	return errors.Join(errs, e.peerServer.Drain(ctx)) // parts that are being collected for other daemons
+}
+
+// answersDueAt returns the time by which all answers must have been sent, if the
+// daemon is leaving.
+func (e *Edge) answersDueAt() (time.Time, bool) {
+	if at := e.answerBy.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
 }
 
 // addressTTL returns the TTL of address answers.
--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,7 +26,7 @@
 )
 
 const edgeConfig = `{"version":%d,"limits":{"maxBodyBytes":1000,"idleTimeoutMs":15000},
-	"backends":[{"name":"a","maxConnections":8},{"name":"b","maxConnections":8},{"name":"c","maxConnections":8}],
+	"backends":[{"name":"a","maxConnections":8},{"name":"b","maxConnections":8},{"name":"c","maxConnections":80}],
 	"routes":[
 	{"name":"all","host":"h.example","pathPrefix":"/all/","type":"idempotent","timeoutMs":900,
 	"targetLatencyMs":400,"gather":["a","b"],"attempts":2,"topK":2,"minCoverage":0.5},
@@ -57,15 +58,19 @@
 
 // startReplica starts and registers a replica that answers with its service's name,
 // repeated to 16 bytes, followed by the request's body. It answers 500 to a request
-// without a deadline or with more than 900 ms left.
+// without a deadline or, but for paths below /long, with more than 900 ms left.
 func (f *edgeFixture) startReplica(service string) {
 	id := "i-" + service
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Server-Stamp", "stamp-"+service)
-		if left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err != nil || left > 900 {
+		left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+		if err != nil || left > 900 && !strings.HasPrefix(r.URL.Path, "/long") {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
+		if strings.HasSuffix(r.URL.Path, "hang") {
+			time.Sleep(5 * time.Second)
+		}
 		if strings.HasSuffix(r.URL.Path, "slow") {
 			time.Sleep(300 * time.Millisecond)
 		}
@@ -214,3 +219,63 @@
 	record("after the shutdown", f.sendRequest(http.MethodGet, "/all/x", ""))
 	golden.Check(t, "edge", b.String())
 }
+
+// TestEdgeAnswersUntilItStops guards against requests that are cut off without an answer
+// at the end of a planned stop: those that were in flight when it began, those that came
+// late in the grace period, and those on connections that were accepted before. Such a
+// request may not be repeated once it was passed on.
+func TestEdgeAnswersUntilItStops(t *testing.T) {
+	f := newEdgeFixture(t, 5)
+	f.putConfig(3, `,{"name":"long","host":"h.example","pathPrefix":"/long/","type":"non_idempotent",
+		"timeoutMs":9000,"targetLatencyMs":400,"backend":"c","attempts":2}`)
+	stop := f.startDaemon()
+	f.eventually(func() bool { return f.statusCode(8108, "/ready") == http.StatusOK })
+	const grace = 3 * time.Second // as in startDaemon
+	requests := []struct {
+		name    string
+		connect time.Duration // after the start of the stop
+		send    time.Duration // the same
+		path    string
+	}{
+		{"before the stop, no reply", -200 * time.Millisecond, -200 * time.Millisecond, "/long/hang"},
+		{"early in the grace, no reply", 300 * time.Millisecond, 300 * time.Millisecond, "/long/hang"},
+		{"early in the grace", 300 * time.Millisecond, 300 * time.Millisecond, "/long/slow"},
+		{"connected early, sent late, no reply", 1300 * time.Millisecond, 2200 * time.Millisecond, "/long/hang"},
+		{"connected early, sent late", 1300 * time.Millisecond, 2200 * time.Millisecond, "/long/x"},
+	}
+	results := make([]chan string, len(requests))
+	stopAt := time.Now().Add(300 * time.Millisecond)
+	for i, r := range requests {
+		results[i] = make(chan string, 1)
+		go func() { results[i] <- f.sendAt(stopAt.Add(r.connect), stopAt.Add(r.send), r.path) }()
+	}
+	time.Sleep(time.Until(stopAt))
+	err := stop()
+	var b strings.Builder
+	fmt.Fprintf(&b, "stopped within the grace period: %t, error: %v\n", time.Since(stopAt) < grace, err)
+	for i, r := range requests {
+		fmt.Fprintf(&b, "%s: %s\n", r.name, <-results[i])
+	}
+	golden.Check(t, "edgestop", b.String())
+}
+
+// sendAt opens a connection and sends a request on it at the given times. It returns the
+// status of the answer and the header fields that tell what to do next.
+func (f *edgeFixture) sendAt(connect, send time.Time, path string) string {
+	time.Sleep(time.Until(connect))
+	connection, err := net.DialTimeout("tcp", f.host+":8104", time.Second)
+	if err != nil {
+		return "no connection"
+	}
+	defer func() { _ = connection.Close() }()
+	time.Sleep(time.Until(send))
+	_, _ = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: late\r\n"+
+		"X-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n", path)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return "cut off"
+	}
+	defer response.Body.Close()
+	retryAfter := response.Header.Get("Retry-After")
+	return fmt.Sprintf("%d close=%t Retry-After=%s", response.StatusCode, response.Close, retryAfter)
+}
--- a/query/execution.go
+++ b/query/execution.go
@@ -61,6 +61,7 @@
 	quorumSuffices atomic.Bool  // set once the wait for a complete answer is over
 	delegates      bool         // attempts may be made through other daemons
 	bound          bool         // only replicas in this daemon's failure domain may be used
+	insists        bool         // with bound, replicas that are not healthy may be used
 	mergedParts    chan int     // indexes of received parts; nil unless this daemon is the delegate
 
 	orderOnce sync.Once // sets order
@@ -100,7 +101,7 @@
 
 // run starts the first attempts and waits for the result: until every part is
 // received or given up, the quorum suffices and is reached, the deadline passes,
-// or the caller of an idempotent message has gone.
+// the daemon has to stop, or the caller of an idempotent message has gone.
 func (e *execution) run(ctx context.Context, r ramp.RelayResult) (ramp.RelayResult, error) {
 	clock := e.relay.Clock
 	expired := make(chan struct{})
@@ -133,6 +134,7 @@
 	select {
 	case <-e.done:
 	case <-expired:
+	case <-e.relay.AnswersDue:
 	case <-callerGone:
 		callerLeft = true
 	}
@@ -243,7 +245,7 @@
 		Service: state.service, Tried: state.attempts, Limit: e.connectionShare(state.service), Near: e.bound,
 	})
 	if !ok {
-		if kind == ramp.Hedge || e.bound || !e.retryForCapacity(index, kind, pick) {
+		if kind == ramp.Hedge || e.bound && !e.insists || !e.retryForCapacity(index, kind, pick) {
 			if pick.Throttled > 0 {
 				e.relay.ObserveWithheld(state.service)
 			}
--- a/query/relay.go
+++ b/query/relay.go
@@ -26,6 +26,10 @@
 	noRoutesRetryAfter = 500 * time.Millisecond
 )
 
+// slowestDecay is the factor by which the time of the slowest recent answer
+// shrinks with each answer, so that one slow answer counts for about a hundred.
+const slowestDecay = 0.99
+
 // Relay answers callers' messages with the response of one replica, or with an
 // answer merged from the parts of many. It does not depend on how messages are
 // encoded. All fields must be set before Init.
@@ -45,6 +49,11 @@
 	Observe        func(d ramp.RelayResult, err error) // called once for each message
 	ObserveAttempt func(a ramp.Attempt)                // called once for each attempt of this daemon that has ended
 
+	// AnswerBy returns the time by which all answers must have been sent, once the daemon
+	// leaves. It is nil if the daemon never leaves.
+	AnswerBy   func() (time.Time, bool)
+	AnswersDue <-chan struct{} // closed at that time; messages in progress then end without an answer
+
 	// ObserveWithheld is called for each attempt that was given up because all replicas
 	// of the service that were left accept no request of this daemon yet.
 	ObserveWithheld func(service string)
@@ -52,11 +61,13 @@
 	splitCount   atomic.Uint64 // messages on split routes so far
 	placement    *placement
 	longestWaits *ramp.Table[string, time.Duration] // longest wait that any caller stated, by route
+	slowest      *ramp.Table[string, time.Duration] // time of the slowest recent answers, by route
 }
 
 // Init prepares the relay for its first call and returns it.
 func (r *Relay) Init() *Relay {
 	r.placement = newPlacement(r.Clock)
+	r.slowest = ramp.NewTable[string, time.Duration](ramp.RankBudgets)
 	r.longestWaits = ramp.NewTable[string, time.Duration](ramp.RankBudgets)
 	return r
 }
@@ -81,6 +92,11 @@
 	started := r.Clock.Now()
 	result, err := r.execute(ctx, m, limit, started)
 	result.Elapsed = r.Clock.Now().Sub(started)
+	if err == nil {
+		r.slowest.Update(result.Route.Name, func(old time.Duration) time.Duration {
+			return max(result.Elapsed, time.Duration(slowestDecay*float64(old)))
+		})
+	}
 	r.Observe(result, err)
 	r.log(m, result, limit, err)
 	return result, err
@@ -110,12 +126,38 @@
 	if limit > 0 && limit < route.Timeout {
 		deadline = started.Add(limit)
 	}
+	if by, leaving := r.answerBy(); leaving {
+		if by.Sub(started) < r.timeNeeded(route) {
+			return result, &ramp.RefusedError{
+				Reason: ramp.ReasonLeaving, Ran: ramp.NotRun, RetryAfter: refusalRetryAfter,
+			}
+		}
+		if by.Before(deadline) {
+			deadline = by
+		}
+	}
 	e := r.newExecution(ctx, m, route, routing, started, deadline)
 	e.priorWait = result.PriorWait
 	defer e.cancel()
 	return e.run(ctx, result)
 }
 
+// answerBy returns the time by which all answers must have been sent, if the
+// daemon leaves.
+func (r *Relay) answerBy() (time.Time, bool) {
+	if r.AnswerBy == nil {
+		return time.Time{}, false
+	}
+	return r.AnswerBy()
+}
+
+// timeNeeded returns the time that an answer on the route may take, by the
+// route's objective and the slowest recent answers.
+func (r *Relay) timeNeeded(route ramp.Route) time.Duration {
+	slowest, _ := r.slowest.Get(route.Name)
+	return max(route.Objective, slowest)
+}
+
 // services returns the services that must answer: all of a gathered route, or
 // one of a split route.
 func (r *Relay) services(route ramp.Route) []string {
