query, replica, fleet: avoid slow replicas and silent delegates in large fleets

Delegates sent requests to slow replicas as long as these made progress; every daemon tried each silent delegate again after 1, 2 and 4 s with all of its parts; an attempt that could not even reach a delegate counted as one of two; and when no domain had a healthy replica, parts were fetched over new connections.

Change: a replica whose replies take three times as long as usual is not healthy, so its parts go to another domain until its average fades. A delegate that was late is selected again only once it answers gossip, which now asks one silent member in each period. An attempt that did not reach the delegate was not sent. Parts without a healthy replica anywhere go to a delegate that insists.

--- a/fleet/delegates.go
+++ b/fleet/delegates.go
@@ -106,8 +106,10 @@
 	now := h.clock.Now()
 	if inTime {
 		h.failed.Delete(d.Incarnation)
+		h.members.MarkSeen(d)
 		return
 	}
+	h.members.MarkUnresponsive(d.Incarnation) // until it answers gossip
 	h.failed.Update(d.Incarnation, func(old delegateState) delegateState { return old.withFailure(now) })
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -135,6 +135,12 @@
 	m.members.UpdateExisting(incarnation, func(old member) member { return old.WithUnresponsive(now) })
 }
 
+// Unresponsive returns the members that did not answer since they were last seen,
+// sorted by id.
+func (m *Members) Unresponsive() []ramp.Daemon {
+	return m.filter(func(other member) bool { return other.unresponsive })
+}
+
 // All returns the members sorted by id.
 func (m *Members) All() []ramp.Daemon {
 	return m.filter(func(member) bool { return true })
--- a/fleet/observer_gossip.go
+++ b/fleet/observer_gossip.go
@@ -70,17 +70,22 @@
 // gossipTargets returns the daemons to gossip with in this period: one member
 // in round-robin order, or the seeds while no other member is known. A daemon
 // that does not watch the store picks a watcher of its failure domain in three
-// periods out of four.
+// periods out of four. Besides, one of the members that did not answer lately is
+// asked again, since in a large fleet its turn comes after minutes only.
 func (o *Observer) gossipTargets() []ramp.Daemon {
 	others := o.otherMembers()
 	if len(others) == 0 {
 		return o.Seeds()
 	}
 	turn := int(o.gossipTurn.Add(1))
+	targets := []ramp.Daemon{others[turn%len(others)]}
 	if watchers := o.domainWatchers(others); len(watchers) > 0 && turn%4 != 0 && !o.shouldWatch() {
-		return watchers[turn%len(watchers) : turn%len(watchers)+1]
+		targets = []ramp.Daemon{watchers[turn%len(watchers)]}
 	}
-	return others[turn%len(others) : turn%len(others)+1]
+	if silent := o.Members.Unresponsive(); len(silent) > 0 {
+		targets = append(targets, silent[turn%len(silent)])
+	}
+	return targets
 }
 
 // domainWatchers returns the daemons among others that watch the store for this
--- a/gathering.go
+++ b/gathering.go
@@ -13,6 +13,7 @@
 	Services []string  // services to gather parts from; never modified
 	Deadline time.Time // time at which the answer is due
 	Separate bool      // each part is sent in a batch of its own, as soon as it arrives
+	Insist   bool      // replicas that are not healthy are used too
 }
 
 // Batch carries parts of a collection. No part is received in two batches, nor pending in
--- a/peer/gather.go
+++ b/peer/gather.go
@@ -65,7 +65,8 @@
 	message := &wire.Collection{
 		Credential: credential, Id: c.Message.ID, Method: c.Message.Method, Host: c.Message.Host,
 		Target: c.Message.Target, Route: c.Route.Name, ObjectiveUs: c.Route.Objective.Microseconds(),
-		Top: uint32(c.Route.TopK), Services: c.Services, LeftUs: c.Deadline.Sub(now).Microseconds(), Apart: c.Separate,
+		Top: uint32(c.Route.TopK), Services: c.Services, LeftUs: c.Deadline.Sub(now).Microseconds(),
+		Apart: c.Separate, Insist: c.Insist,
 	}
 	for _, f := range c.Message.Fields {
 		message.Fields = append(message.Fields, &wire.Field{Name: f.Name, Value: f.Value})
@@ -83,7 +84,7 @@
 			Objective: time.Duration(m.GetObjectiveUs()) * time.Microsecond, Gather: m.GetServices(),
 		},
 		Services: m.GetServices(), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
-		Separate: m.GetApart(),
+		Separate: m.GetApart(), Insist: m.GetInsist(),
 	}
 	for _, f := range m.GetFields() {
 		c.Message.Fields = append(c.Message.Fields, ramp.Field{Name: f.GetName(), Value: f.GetValue()})
--- a/query/delegation.go
+++ b/query/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 type delegation struct {
 	delegate ramp.Daemon
 	kind     ramp.AttemptKind
+	insists  bool          // the delegate uses replicas that are not healthy too
 	started  time.Duration // since the message was received
 	indexes  []int         // of the parts, in the execution
 }
@@ -43,7 +45,7 @@
 			continue
 		}
 		if !e.relay.Pool.Submit(func() { e.collectFrom(d) }) {
-			e.finishDelegation(d, false)
+			e.finishDelegation(d, &ramp.PeerError{Daemon: d.delegate.ID})
 		}
 	}
 }
@@ -57,24 +59,24 @@
 		state, _ := e.parts.Get(i)
 		healthy[n] = e.relay.Picker.Domains(state.service)
 	}
-	byDomain := make(map[string]*domainParts)
-	var domains []*domainParts
+	byTarget := make(map[target]*targetParts)
+	var targets []*targetParts
 	for n, i := range indexes {
 		state, _ := e.parts.Get(i)
-		domain, found := state.chooseDomain(healthy[n], e.relay.Domain, e.domainOrder(healthy))
-		if !found || domain == e.relay.Domain && !grouped {
+		to, found := state.chooseTarget(healthy[n], e.relay.Domain, e.domainOrder(healthy))
+		if !found || to.domain == e.relay.Domain && !grouped {
 			direct = append(direct, i)
 			continue
 		}
-		if byDomain[domain] == nil {
-			byDomain[domain] = &domainParts{domain: domain}
-			domains = append(domains, byDomain[domain])
+		if byTarget[to] == nil {
+			byTarget[to] = &targetParts{target: to}
+			targets = append(targets, byTarget[to])
 		}
-		byDomain[domain].indexes = append(byDomain[domain].indexes, i)
-		byDomain[domain].services = append(byDomain[domain].services, state.service)
+		byTarget[to].indexes = append(byTarget[to].indexes, i)
+		byTarget[to].services = append(byTarget[to].services, state.service)
 	}
 	started := e.elapsed()
-	for _, d := range domains {
+	for _, d := range targets {
 		byDelegate := make(map[string]int) // position in delegations by the incarnation of the delegate
 		for n, delegate := range e.relay.Delegates.Select(d.domain, d.services) {
 			if delegate.Self || !delegate.Found() {
@@ -85,7 +87,9 @@
 			if !known {
 				at = len(delegations)
 				byDelegate[delegate.Incarnation] = at
-				delegations = append(delegations, delegation{delegate: delegate.Daemon, kind: kind, started: started})
+				delegations = append(delegations, delegation{
+					delegate: delegate.Daemon, kind: kind, insists: d.insists, started: started,
+				})
 			}
 			delegations[at].indexes = append(delegations[at].indexes, d.indexes[n])
 		}
@@ -93,9 +97,15 @@
 	return direct, delegations
 }
 
-// domainParts are the parts that are to be collected in a failure domain.
-type domainParts struct {
-	domain   string
+// target is a failure domain in which a part is to be collected.
+type target struct {
+	domain  string
+	insists bool // replicas that are not healthy are used too
+}
+
+// targetParts are the parts that are to be collected from a target.
+type targetParts struct {
+	target
 	indexes  []int    // of the parts
 	services []string // of the parts, in the same order
 }
@@ -157,6 +167,7 @@
 	answered := false
 	err := e.relay.Collector.Collect(e.context, d.delegate, ramp.CollectRequest{
 		Message: e.message, Route: e.route, Services: services, Deadline: e.deadline, Separate: d.repeats(),
+		Insist: d.insists,
 	}, func(b ramp.Batch) {
 		if !answered {
 			e.observeDelegate(d, float64(len(b.Pending))/float64(len(d.indexes)))
@@ -170,7 +181,7 @@
 		e.relay.Log.Info("delegate returned no parts", "request", e.message.ID, "daemon", d.delegate.ID,
 			"parts", len(d.indexes), "elapsed", e.elapsed()-d.started, "error", err)
 	}
-	e.finishDelegation(d, err == nil)
+	e.finishDelegation(d, err)
 }
 
 // repeats reports whether earlier attempts were made for the parts. The delegate
@@ -210,9 +221,9 @@
 		isNew := false
 		state := e.parts.Update(d.indexes[received.Index], func(s part) part {
 			if isNew = !s.merged; !isNew && len(b.Received) == 1 {
-				return s.withDelegationOutcome(d.delegate.ID, ramp.Late, e.elapsed())
+				return s.withDelegationOutcome(d.delegate.ID, ramp.Late, e.elapsed(), true)
 			}
-			return s.withDelegationOutcome(d.delegate.ID, ramp.Merged, e.elapsed()).WithMerged(response)
+			return s.withDelegationOutcome(d.delegate.ID, ramp.Merged, e.elapsed(), true).WithMerged(response)
 		})
 		if isNew {
 			added = append(added, state)
@@ -228,7 +239,9 @@
 	for _, pending := range b.Pending {
 		index := d.indexes[pending.Index]
 		if pending.Replica == "" {
-			e.parts.Update(index, func(s part) part { return s.withDelegationUnsent(d.delegate.ID, e.elapsed()) })
+			e.parts.Update(index, func(s part) part {
+				return s.withDelegationOutcome(d.delegate.ID, ramp.NotStarted, e.elapsed(), false)
+			})
 			unsent = append(unsent, index)
 			continue
 		}
@@ -239,11 +252,17 @@
 	e.dispatch(sent, ramp.Retry)
 }
 
-// finishDelegation records the outcome of the delegation's pending attempts,
-// and repeats those of the parts that the delegate did not send.
-func (e *execution) finishDelegation(d delegation, complete bool) {
-	outcome := ramp.Failed
-	if !complete {
+// finishDelegation records the outcome of the delegation's pending attempts, and
+// repeats those of the parts that the delegate did not send. If the request did
+// not reach the delegate these are not sent yet.
+func (e *execution) finishDelegation(d delegation, err error) {
+	outcome, kind := ramp.Failed, ramp.Retry
+	var failed *ramp.PeerError
+	sent := !errors.As(err, &failed) || failed.Sent
+	switch {
+	case !sent:
+		outcome, kind = ramp.Unreachable, d.kind
+	case err != nil:
 		outcome = ramp.Unreachable
 	}
 	var open []int
@@ -252,10 +271,10 @@
 			if !s.closed && s.awaitsDelegate(d.delegate.ID) {
 				open = append(open, i)
 			}
-			return s.withDelegationOutcome(d.delegate.ID, outcome, e.elapsed())
+			return s.withDelegationOutcome(d.delegate.ID, outcome, e.elapsed(), sent)
 		})
 	}
-	e.dispatch(open, ramp.Retry)
+	e.dispatch(open, kind)
 }
 
 // HandleCollect implements [ramp.CollectHandler]. It sends one attempt to each
@@ -267,7 +286,7 @@
 	started := r.Clock.Now()
 	e := r.newExecution(ctx, c.Message, c.Route, routing, started, c.Deadline)
 	defer e.cancel()
-	e.bound = r.grouped()
+	e.bound, e.insists = r.grouped(), c.Insist
 	e.mergedParts = make(chan int, e.partCount)
 	reported := make(map[int]bool)
 	if err := e.startCollection(reported, send); err != nil {
@@ -311,7 +330,7 @@
 	for i := range e.partCount {
 		state, _ := e.parts.Get(i)
 		domains := e.relay.Picker.Domains(state.service)
-		if !e.bound || len(domains) > 0 && domains[0] == e.relay.Domain {
+		if !e.bound || e.insists || len(domains) > 0 && domains[0] == e.relay.Domain {
 			usable = append(usable, i)
 			continue
 		}
--- a/query/part.go
+++ b/query/part.go
@@ -67,19 +67,12 @@
 
 // withDelegationOutcome returns the part with the outcome of its attempt through
 // the delegate, if that is pending. Elapsed is the time since the message was
-// received.
-func (p part) withDelegationOutcome(delegate string, outcome ramp.Outcome, elapsed time.Duration) part {
+// received, and sent says whether the request may have reached a replica.
+func (p part) withDelegationOutcome(
+	delegate string, outcome ramp.Outcome, elapsed time.Duration, sent bool,
+) part {
 	if a, ok := p.delegatedAttempt(delegate); ok {
-		return p.WithOutcome(a.WithOutcome(outcome, max(0, elapsed-a.Started), true))
-	}
-	return p
-}
-
-// withDelegationUnsent returns the part after the delegate said that it sent the
-// request to no replica.
-func (p part) withDelegationUnsent(delegate string, elapsed time.Duration) part {
-	if a, ok := p.delegatedAttempt(delegate); ok {
-		return p.WithOutcome(a.WithOutcome(ramp.NotStarted, max(0, elapsed-a.Started), false))
+		return p.WithOutcome(a.WithOutcome(outcome, max(0, elapsed-a.Started), sent))
 	}
 	return p
 }
@@ -110,26 +103,35 @@
 	return ramp.Attempt{}, false
 }
 
-// chooseDomain returns the failure domain for the next attempt, out of those with
-// a healthy replica: the daemon's own one if there is any, or else the first one
-// in the given order. It excludes the domains of earlier attempts, and reports
-// false when no domain is left.
-func (p part) chooseDomain(healthy []string, own string, order []string) (string, bool) {
-	healthy = slices.DeleteFunc(healthy, func(domain string) bool {
-		return slices.ContainsFunc(p.attempts, func(a ramp.Attempt) bool { return a.Replica.Domain == domain })
-	})
-	if slices.Contains(healthy, own) {
-		return own, true
+// chooseTarget returns the failure domain for the next attempt, out of those with a
+// healthy replica: the daemon's own one if there is any, or else the first one in
+// the given order. It excludes the domains of earlier attempts. When no other is
+// left it returns one whose delegate sent nothing for want of a healthy replica,
+// which is then to use any. It reports false when there is none either.
+func (p part) chooseTarget(healthy []string, own string, order []string) (target, bool) {
+	untried := func(domain string) bool {
+		return slices.Contains(healthy, domain) && len(p.attemptsIn(domain)) == 0
 	}
-	for _, domain := range order {
-		if slices.Contains(healthy, domain) {
-			return domain, true
-		}
+	if untried(own) {
+		return target{domain: own}, true
 	}
-	if len(healthy) > 0 {
-		return healthy[0], true // it had no healthy replica when the order was drawn
+	if i := slices.IndexFunc(order, untried); i >= 0 {
+		return target{domain: order[i]}, true
 	}
-	return "", false
+	if i := slices.IndexFunc(healthy, untried); i >= 0 { // it had no healthy replica when the order was drawn
+		return target{domain: healthy[i]}, true
+	}
+	for _, a := range p.attempts {
+		if in := p.attemptsIn(a.Replica.Domain); len(in) == 1 && a.Delegate != "" && a.Outcome == ramp.NotStarted {
+			return target{domain: a.Replica.Domain, insists: true}, true
+		}
+	}
+	return target{}, false
+}
+
+// attemptsIn returns the attempts at replicas in the failure domain.
+func (p part) attemptsIn(domain string) []ramp.Attempt {
+	return slices.DeleteFunc(slices.Clone(p.attempts), func(a ramp.Attempt) bool { return a.Replica.Domain != domain })
 }
 
 // pendingCount returns the number of pending attempts.
--- a/replica/load.go
+++ b/replica/load.go
@@ -145,18 +145,23 @@
 // expectedLatencyAt returns the expected time until the last reply to a queue of the
 // given length, in nanoseconds.
 func (l Load) expectedLatencyAt(queue float64, now time.Time) float64 {
-	expected := float64(assumedLatency)
-	if l.Latency > 0 {
-		age := float64(now.Sub(l.LastEnded)) / float64(latencyFade)
-		expected = float64(l.Latency) / (1 + age)
-	}
-	expected *= queue
+	expected := l.fadedLatency(now) * queue
 	if l.Connections <= l.InFlight {
 		expected += float64(connectDelay)
 	}
 	return expected * float64(1+l.Failures)
 }
 
+// fadedLatency returns the average latency in nanoseconds, faded since the last reply or
+// failure, and assumedLatency for a replica without samples.
+func (l Load) fadedLatency(now time.Time) float64 {
+	if l.Latency == 0 {
+		return float64(assumedLatency)
+	}
+	age := float64(now.Sub(l.LastEnded)) / float64(latencyFade)
+	return float64(l.Latency) / (1 + age)
+}
+
 // currentLimit returns the concurrency limit, which is initialLimit for a new replica.
 func (l Load) currentLimit() float64 {
 	if l.Limit == 0 {
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -21,6 +21,10 @@
 // replica counts as stalled.
 const stallFactor = 2
 
+// slowReplicaRatio is the multiple of assumedLatency, to which attempts on all routes are
+// scaled, from which a replica counts as slow and another failure domain is asked instead.
+const slowReplicaRatio = 3
+
 // Parameters of the failure ratio. It penalises replicas that fail some of their
 // attempts: each success resets the circuit breaker's count, so the breaker does not
 // open for them.
@@ -119,9 +123,15 @@
 	return s.InFlight > 0 && now.Sub(s.lastProgress) > stallFactor*max(s.Latency, assumedLatency)
 }
 
+// slow reports whether the replica's replies take much longer than those of others. The
+// average fades, so that it is tried again.
+func (s replicaStats) slow(now time.Time) bool {
+	return s.fadedLatency(now) > slowReplicaRatio*float64(assumedLatency)
+}
+
 // healthy reports whether there is no reason to ask another replica.
 func (s replicaStats) healthy(now time.Time) bool {
-	return !s.Avoided(now) && !s.stalled(now) && s.currentFailureRatio(now) < maxHealthyFailureRatio
+	return !s.Avoided(now) && !s.stalled(now) && !s.slow(now) && s.currentFailureRatio(now) < maxHealthyFailureRatio
 }
 
 // Picker picks replicas of services by their registrations in the store and by this
