fleet, platform: leave the store to the watchers in calm

A watch confirmed the view for its start, so the word was 2 to 4 s old when it came, and every daemon watches by itself at 2.5 s.

Change: a watch that ends without changes after its wait confirms the view for the end of the wait, before which the store does not answer. In fleets with watchers the wait is at most a third of the bound on applying a change, and other daemons watch by themselves at five sixths of that bound, as the small bound had it. Ruled out: renewals of leases, which cost a tenth of a read.

TestCalmFleetLeavesStoreToWatchers failed before for bounds of 3, 5 and 6 s.

--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -12,9 +12,13 @@
 
 // Times and sizes of the observer.
 const (
-	// observerWatchWait is the wait of a watch. With the delay of its reply it stays
-	// below the bound on contact with the store.
+	// observerWatchWait is the longest wait of a watch. With the delay of its reply it
+	// stays below the bound on contact with the store.
 	observerWatchWait = 2 * time.Second
+	// watchWaitDivisor divides the bound on applying a change into the wait of a watch
+	// in a fleet whose other daemons hear from the watchers: with the time that gossip
+	// takes, the store's word reaches them before they would watch it themselves.
+	watchWaitDivisor = 3
 	// observerPause is the pause after a failed call, which doubles with each further
 	// failure, and the pause between checks of whether to watch.
 	observerPause = 250 * time.Millisecond
@@ -23,10 +27,9 @@
 	observerMaxPause      = time.Second
 	observerGossipPeriod  = 400 * time.Millisecond
 	observerGossipTimeout = 500 * time.Millisecond
-	// selfWatchAge is the age of the last confirmation from the store at which any
-	// daemon watches the store itself, or selfWatchShare of the bound if that is less.
-	// The rest of the bound is for the daemon's own call.
-	selfWatchAge   = 2500 * time.Millisecond
+	// selfWatchShare is the share of the bound on applying a change: when the last
+	// confirmation from the store is older, any daemon watches the store itself. The
+	// rest of the bound is for the daemon's own call.
 	selfWatchShare = 5.0 / 6
 	// smallFleet is the greatest number of members with which all of them watch the
 	// store.
@@ -164,7 +167,15 @@
 		return true
 	}
 	age, known := o.ConfirmedAge()
-	return !known || age > min(selfWatchAge, time.Duration(selfWatchShare*float64(o.ApplyBound)))
+	return !known || age > time.Duration(selfWatchShare*float64(o.ApplyBound))
+}
+
+// watchWait returns the wait of a watch.
+func (o *Observer) watchWait() time.Duration {
+	if len(o.Members.All()) <= smallFleet {
+		return observerWatchWait
+	}
+	return min(observerWatchWait, o.ApplyBound/watchWaitDivisor)
 }
 
 // watchStore applies the changes of the store until ctx ends, whenever this
@@ -178,8 +189,8 @@
 			continue
 		}
 		after = max(after, o.Mirror.Revision())
-		started := o.Clock.Now()
-		entries, until, err := o.Store.Watch(ctx, "", after, observerWatchWait)
+		started, wait := o.Clock.Now(), o.watchWait()
+		entries, until, err := o.Store.Watch(ctx, "", after, wait)
 		if isCompacted(err) {
 			o.Log.Info("store history compacted, reading all entries", "after", after)
 			after = 0
@@ -193,7 +204,7 @@
 		failures++
 		if err == nil {
 			failures = 0
-			o.confirm(started)
+			o.confirm(confirmedAt(started, o.Clock.Now(), wait, len(entries)))
 			o.applyChange(ramp.EntryChange{FromRevision: after, ToRevision: until, Entries: entries}, "store")
 			after, pause = max(after, until), 0
 			if len(entries) > 0 {
@@ -207,10 +218,19 @@
 	}
 }
 
-// confirm records a confirmation from the store by a call that started at the
-// given time.
-func (o *Observer) confirm(started time.Time) {
-	at := max(1, int64(started.Sub(o.started)))
+// confirmedAt returns the time for which a watch confirms the view. The store ends a
+// watch without changes after the wait, counted from the arrival of the call. Any
+// other reply may have been on its way since the call.
+func confirmedAt(started, ended time.Time, wait time.Duration, changes int) time.Time {
+	if changes == 0 && ended.Sub(started) >= wait {
+		return started.Add(wait)
+	}
+	return started
+}
+
+// confirm records a confirmation from the store for the given time.
+func (o *Observer) confirm(confirmed time.Time) {
+	at := max(1, int64(confirmed.Sub(o.started)))
 	for old := o.confirmedAt.Load(); at > old && !o.confirmedAt.CompareAndSwap(old, at); old = o.confirmedAt.Load() {
 	}
 }
--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -63,8 +63,11 @@
 	return d.HandleGossip(msg), nil
 }
 
-// startObservers starts daemons on one store.
-func startObservers(ctx context.Context, store *standin.Store, count int) (map[string]*testObserver, *partition) {
+// startObservers starts daemons on one store, in two failure domains. A change must take
+// effect within bound.
+func startObservers(
+	ctx context.Context, store *standin.Store, count int, bound time.Duration,
+) (map[string]*testObserver, *partition) {
 	clock := ramp.SystemClock{}
 	all, cut := make(map[string]*testObserver), &partition{}
 	for i := range count {
@@ -78,7 +81,7 @@
 			Clock: clock, Log: slog.New(slog.DiscardHandler), Self: self, Store: client,
 			Registry: platform.Registry{Store: client}, Translator: testTranslator{},
 			Peers: testPeers{daemons: all, cut: cut, from: id}, Pool: ramp.NewPool(4, 64), Mirror: NewMirror(clock),
-			Routes: NewRoutes(), Members: NewMembers(self, clock), Replicas: replicas, ApplyBound: 3 * time.Second,
+			Routes: NewRoutes(), Members: NewMembers(self, clock), Replicas: replicas, ApplyBound: bound,
 			Seeds:   func() []ramp.Daemon { return []ramp.Daemon{{ID: "d00", PeerAddress: "d00"}} },
 			Leaving: make(chan struct{}),
 		}
@@ -133,7 +136,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			store := standin.NewStore(ramp.SystemClock{})
 			revision, _ := store.For("operator").Swap(ctx, "config", []byte("1"), 0, "")
-			all, cut := startObservers(ctx, store, test.count)
+			all, cut := startObservers(ctx, store, test.count, 3*time.Second)
 			time.Sleep(10 * time.Second)
 			before := store.Calls()
 			test.fault(store, cut)
@@ -169,7 +172,7 @@
 		lease, _ := replicas.Grant(ctx, 3*time.Second)
 		_, _ = replicas.Swap(ctx, "replica/a", []byte("x"), 0, lease)
 		_, _ = replicas.Swap(ctx, "replica/b", []byte("x"), 0, "")
-		all, _ := startObservers(ctx, store, 1)
+		all, _ := startObservers(ctx, store, 1, 3*time.Second)
 		time.Sleep(time.Second)
 		store.SetFault("d00", standin.Fault{Down: true})
 		time.Sleep(5 * time.Second)
@@ -203,7 +206,7 @@
 			_, _ = writer.Swap(ctx, key, []byte(value), 0, "")
 		}
 		_, _ = writer.Swap(ctx, "replica/a", []byte("x"), 0, "")
-		all, _ := startObservers(ctx, store, 2)
+		all, _ := startObservers(ctx, store, 2, 3*time.Second)
 		time.Sleep(time.Second)
 		_, _ = writer.Swap(ctx, "replica/b", []byte("x"), 0, "")
 		time.Sleep(2 * time.Second)
@@ -243,3 +246,30 @@
 		}
 	})
 }
+
+// TestCalmFleetLeavesStoreToWatchers guards against daemons that call the store in calm
+// although the watchers of their failure domain follow it for them. The age of the word
+// that reached them by gossip passed the age at which any daemon watches, in each round.
+func TestCalmFleetLeavesStoreToWatchers(t *testing.T) {
+	const watched = 30 * time.Second
+	var b strings.Builder
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store := standin.NewStore(ramp.SystemClock{})
+			all, _ := startObservers(ctx, store, 40, bound)
+			time.Sleep(20 * time.Second)
+			before := store.Calls()
+			time.Sleep(watched)
+			reads := store.Calls().Reads - before.Reads
+			const watchers = 2 * watchersPerDomain // startObservers has two failure domains
+			perWatch := int64(watched / min(observerWatchWait, bound/watchWaitDivisor))
+			fmt.Fprintf(&b, "%d daemons, bound %s: no more than the reads of %d watchers: %t\n",
+				len(all), bound, watchers, int64(reads) <= watchers*(perWatch+1))
+			cancel()
+			synctest.Wait()
+			time.Sleep(time.Minute)
+		})
+	}
+	golden.Check(t, "calmfleet", b.String())
+}
