daemon, query, peer: run nothing that waited while the process was paused

Operators of similar systems saw processes act on permissions that had run out while they were paused. Here a request, or a collection of another daemon, that waits in a socket of a paused process states the time left, not a time of day, so it was passed on with its whole budget afterwards, its caller being gone.

A daemon now watches its own signs of life by the clock that goes on while a machine is suspended. Requests that it reads within 100 ms after a pause of a second or more are refused as not run, collections are given back as not sent.

--- a/clock.go
+++ b/clock.go
@@ -13,6 +13,12 @@
 	AfterFunc(d time.Duration, f func()) (stop func())
 }
 
+// BootClock returns the time since the machine started, which goes on while the machine
+// is suspended and does not step.
+type BootClock interface {
+	Uptime() time.Duration
+}
+
 // SystemClock is the [Clock] of the operating system.
 type SystemClock struct{}
 
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -76,6 +76,7 @@
 	metrics     *metrics
 	burnRates   *burn.Recorder
 	idleCloser  *idleCloser
+	pauses      *pauseDetector
 	front       *http.Server // serves callers; one of servers
 	servers     []server
 	leaving     chan struct{}             // closed when the daemon starts to leave
@@ -113,6 +114,7 @@
 		metrics: newMetrics(), burnRates: burn.NewRecorder(clock), leaving: make(chan struct{}),
 		answersDue: make(chan struct{}),
 	}
+	e.pauses = newPauseDetector(clock, systemBootClock{}, e.log)
 	e.setSeeds(d)
 	e.members = fleet.NewMembers(e.self, clock)
 	store := platform.NewClient(d.StoreAddress)
@@ -145,7 +147,7 @@
 		Exchanger: backend.NewExchanger(platform.CallCodec{}, e.clock),
 		Collector: e.peers, Delegates: fleet.NewDelegateSelector(e.members, e.clock), Domain: d.Domain,
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
-		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue,
+		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue, Resumed: e.pauses.Resumed,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
 	e.peerServer.WithCollectHandler(relay.Init())
@@ -203,6 +205,7 @@
 	}()
 	go e.watchSettings(serving, hangups)
 	go e.idleCloser.Run(serving)
+	go e.pauses.Run(serving)
 	e.log.Info("daemon started", "daemon", e.self.ID, "incarnation", e.self.Incarnation, "domain", e.self.Domain,
 		"caller", e.self.CallerAddress, "store", e.deployment.StoreAddress)
 	select {
--- a/errors.go
+++ b/errors.go
@@ -25,6 +25,7 @@
 	ReasonRoutes   Reason = "routes"   // no configuration is known yet
 	ReasonRoute    Reason = "route"    // no route matches
 	ReasonSize     Reason = "size"     // the request is larger than the configuration allows
+	ReasonPaused   Reason = "paused"   // the daemon was paused, so the request may have waited for any time
 	ReasonCaller   Reason = "caller"   // the caller closed the connection
 )
 
--- a/query/delegation.go
+++ b/query/delegation.go
@@ -323,14 +323,17 @@
 
 // startCollection starts the attempts of a collection. In a grouped fleet it sends a
 // batch with the parts that have no healthy replica in this daemon's failure domain,
-// if there are any, so that the daemon that asks can get them elsewhere at once.
+// if there are any, so that the daemon that asks can get them elsewhere at once. It
+// does so with all parts when the collection may have waited while the process was
+// paused.
 func (e *execution) startCollection(reported map[int]bool, send func(ramp.Batch) error) error {
 	var batch ramp.Batch
 	var usable []int
+	resumed := e.relay.resumed()
 	for i := range e.partCount {
 		state, _ := e.parts.Get(i)
 		domains := e.relay.Picker.Domains(state.service)
-		if !e.bound || e.insists || len(domains) > 0 && domains[0] == e.relay.Domain {
+		if !resumed && (!e.bound || e.insists || len(domains) > 0 && domains[0] == e.relay.Domain) {
 			usable = append(usable, i)
 			continue
 		}
--- a/query/delegation_test.go
+++ b/query/delegation_test.go
@@ -41,7 +41,8 @@
 	batchDelay  time.Duration // before each batch is passed on
 	silent      bool
 	unreachable bool
-	lateReports int // number of reports that the delegate was late or did not answer
+	breaksOff   bool // the connection ends after the first batch
+	lateReports int  // number of reports that the delegate was late or did not answer
 }
 
 // Collect implements [ramp.Collector].
@@ -56,17 +57,26 @@
 		return &ramp.PeerError{Daemon: to.ID, Sent: true, Cause: ctx.Err()}
 	}
 	c.Route.Gather, c.Route.MaxAttempts, c.Route.MinCoverage = c.Services, 1, 0
-	return d.relay.HandleCollect(ctx, c, func(b ramp.Batch) error {
+	err := d.relay.HandleCollect(ctx, c, func(b ramp.Batch) error {
 		select {
 		case <-time.After(d.batchDelay):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		receive(b)
+		if d.breaksOff {
+			return errBrokenOff
+		}
 		return nil
 	})
+	if errors.Is(err, errBrokenOff) {
+		return &ramp.PeerError{Daemon: to.ID, Sent: true, Cause: err}
+	}
+	return err
 }
 
+var errBrokenOff = errors.New("connection reset")
+
 // Select implements [ramp.DelegateSelector].
 func (d *fakeDelegate) Select(domain string, services []string) []ramp.Delegate {
 	selected := make([]ramp.Delegate, len(services))
@@ -125,6 +135,18 @@
 			fakeDelegate{},
 			nil,
 		},
+		{
+			"the delegate breaks off after its first batch",
+			script{"a-f": one, "b-f": {delay: 35 * ms, status: 200, body: record2}, "b-x": two},
+			fakeDelegate{breaksOff: true},
+			nil,
+		},
+		{
+			"the delegate breaks off, and no other replica is left",
+			script{"a-f": one, "b-f": {delay: 35 * ms, status: 200, body: record2}},
+			fakeDelegate{breaksOff: true},
+			script{"a-f": one, "b-f": {delay: ms, outcome: ramp.Unreachable, notSent: true}},
+		},
 		{
 			"the delegate is unreachable",
 			script{"a-f": one, "a-x": one, "b-f": two, "b-x": two},
--- a/query/relay.go
+++ b/query/relay.go
@@ -54,6 +54,10 @@
 	AnswerBy   func() (time.Time, bool)
 	AnswersDue <-chan struct{} // closed at that time; messages in progress then end without an answer
 
+	// Resumed reports whether the process was paused until just now, so that messages may
+	// have waited for any time before they were read. It is nil if that is not known.
+	Resumed func() bool
+
 	// ObserveWithheld is called for each attempt that was given up because all replicas
 	// of the service that were left accept no request of this daemon yet.
 	ObserveWithheld func(service string)
@@ -106,6 +110,11 @@
 func (r *Relay) execute(
 	ctx context.Context, m ramp.Message, limit time.Duration, started time.Time,
 ) (ramp.RelayResult, error) {
+	if r.resumed() {
+		return ramp.RelayResult{}, &ramp.RefusedError{
+			Reason: ramp.ReasonPaused, Ran: ramp.NotRun, RetryAfter: refusalRetryAfter,
+		}
+	}
 	routing, known := r.Routes.Current()
 	if !known {
 		return ramp.RelayResult{}, &ramp.RefusedError{
@@ -151,6 +160,9 @@
 	return r.AnswerBy()
 }
 
+// resumed reports whether the process was paused until just now.
+func (r *Relay) resumed() bool { return r.Resumed != nil && r.Resumed() }
+
 // timeNeeded returns the time that an answer on the route may take, by the
 // route's objective and the slowest recent answers.
 func (r *Relay) timeNeeded(route ramp.Route) time.Duration {
