--- a/query/delegation.go
+++ b/query/delegation.go
@@ -292,33 +292,37 @@
 	if err := e.startCollection(reported, send); err != nil {
 		return err
 	}
+	first := 0
 	if !c.Separate {
-		if err := e.sendFirstBatch(ctx, reported, send); err != nil {
+		var err error
+		if first, err = e.sendFirstBatch(ctx, reported, send); err != nil {
 			return err
 		}
 	}
 	err := e.sendLateParts(ctx, reported, send)
 	r.Log.Info("parts collected", "request", c.Message.ID, "route", c.Route.Name, "wanted", e.partCount,
-		"in", e.received.Load(), "elapsed", e.elapsed())
+		"first", first, "in", e.received.Load(), "elapsed", e.elapsed())
 	return err
 }
 
 // sendFirstBatch sends the parts that arrive until a hedge would start as one
-// batch.
-func (e *execution) sendFirstBatch(ctx context.Context, reported map[int]bool, send func(ramp.Batch) error) error {
+// batch, and returns their number.
+func (e *execution) sendFirstBatch(
+	ctx context.Context, reported map[int]bool, send func(ramp.Batch) error,
+) (int, error) {
 	hedgeDue := make(chan struct{})
 	defer e.relay.Clock.AfterFunc(e.hedgeDelay, func() { close(hedgeDue) })()
 	select {
 	case <-e.done:
 	case <-hedgeDue:
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	batch := e.firstBatch(e.route.TopK, reported)
 	if len(batch.Received)+len(batch.Pending) == 0 {
-		return nil
+		return 0, nil
 	}
-	return send(batch)
+	return len(batch.Received), send(batch)
 }
 
 // startCollection starts the attempts of a collection. In a grouped fleet it sends a
