query, retry: delegates take repeats from the budget, and send batches in time

- parts whose first attempt was at a slow replica were not repeated: each of 117 daemons has 3 repeats a service in 10 s, and a slow service needs one for each request;
- one in eight collections in calm counted as silent: the delegate sent its first batch by its own latencies, the daemon that asked waited by its own, and parts moved to another daemon, without warm connections.

Change: in a grouped fleet the delegates of a service, one for each failure domain with replicas, count the requests that they get and have two thirds of the slack; the others have the rest for attempts that they make themselves. The shares add up to what they did (TestFleetBudget, 117 daemons). A collection states when the first batch is due (TestBatchComesWhenItIsExpected: before, both parts were hedged for nothing).

Accounts in the log leave out the attempts that a delegate gave back unsent; they filled its 24 places.

--- a/gathering.go
+++ b/gathering.go
@@ -8,12 +8,13 @@
 // CollectRequest asks a daemon to gather the parts of an answer from the replicas in
 // its own failure domain.
 type CollectRequest struct {
-	Message  Message
-	Route    Route     // only Name, Objective and TopK are sent
-	Services []string  // services to gather parts from; never modified
-	Deadline time.Time // time at which the answer is due
-	Separate bool      // each part is sent in a batch of its own, as soon as it arrives
-	Insist   bool      // replicas that are not healthy are used too
+	Message    Message
+	Route      Route         // only Name, Objective and TopK are sent
+	Services   []string      // services to gather parts from; never modified
+	Deadline   time.Time     // time at which the answer is due
+	BatchDelay time.Duration // after which the first batch is due; 0 if the delegate chooses
+	Separate   bool          // each part is sent in a batch of its own, as soon as it arrives
+	Insist     bool          // replicas that are not healthy are used too
 }
 
 // Batch carries parts of a collection. No part is received in two batches, nor pending in
--- a/peer/gather.go
+++ b/peer/gather.go
@@ -66,7 +66,7 @@
 		Credential: credential, Id: c.Message.ID, Method: c.Message.Method, Host: c.Message.Host,
 		Target: c.Message.Target, Route: c.Route.Name, ObjectiveUs: c.Route.Objective.Microseconds(),
 		Top: uint32(c.Route.TopK), Services: c.Services, LeftUs: c.Deadline.Sub(now).Microseconds(),
-		Apart: c.Separate, Insist: c.Insist,
+		Apart: c.Separate, Insist: c.Insist, BatchUs: c.BatchDelay.Microseconds(),
 	}
 	for _, f := range c.Message.Fields {
 		message.Fields = append(message.Fields, &wire.Field{Name: f.Name, Value: f.Value})
@@ -85,6 +85,7 @@
 		},
 		Services: m.GetServices(), Deadline: now.Add(time.Duration(m.GetLeftUs()) * time.Microsecond),
 		Separate: m.GetApart(), Insist: m.GetInsist(),
+		BatchDelay: time.Duration(m.GetBatchUs()) * time.Microsecond,
 	}
 	for _, f := range m.GetFields() {
 		c.Message.Fields = append(c.Message.Fields, ramp.Field{Name: f.GetName(), Value: f.GetValue()})
--- a/query/delegation.go
+++ b/query/delegation.go
@@ -31,7 +31,7 @@
 // collect the parts of their services, or directly where there is none. Unless the
 // fleet is grouped, only first attempts in other failure domains are delegated.
 func (e *execution) dispatch(indexes []int, kind ramp.AttemptKind) {
-	if !e.delegates || kind != ramp.First && !e.relay.grouped() {
+	if !e.delegates || kind != ramp.First && !e.grouped {
 		for _, i := range indexes {
 			e.submit(i, kind)
 		}
@@ -39,6 +39,9 @@
 	}
 	direct, delegations := e.planDelegations(indexes, kind)
 	for _, i := range direct {
+		if state, _ := e.parts.Get(i); e.grouped && kind == ramp.First {
+			e.relay.Budget.CountRequest(state.service)
+		}
 		e.submit(i, kind)
 	}
 	for _, d := range delegations {
@@ -54,7 +57,6 @@
 // planDelegations assigns the parts to delegates. It returns those that this
 // daemon fetches itself apart: it is their delegate, or none is known.
 func (e *execution) planDelegations(indexes []int, kind ramp.AttemptKind) (direct []int, delegations []delegation) {
-	grouped := e.relay.grouped()
 	healthy := make([][]string, len(indexes)) // failure domains with a healthy replica, by position in indexes
 	for n, i := range indexes {
 		state, _ := e.parts.Get(i)
@@ -65,7 +67,7 @@
 	for n, i := range indexes {
 		state, _ := e.parts.Get(i)
 		to, found := state.chooseTarget(healthy[n], e.relay.Domain, e.domainOrder(healthy))
-		if !found || to.domain == e.relay.Domain && !grouped {
+		if !found || to.domain == e.relay.Domain && !e.grouped {
 			direct = append(direct, i)
 			continue
 		}
@@ -125,13 +127,13 @@
 }
 
 // reserve records the delegation's attempts as pending and returns it with the
-// parts that it is to collect: those that are open, whose attempts are not used
-// up, and whose repetition the retry budget allows.
+// parts that it is to collect: those that are open, and whose attempts are not used
+// up. The delegate checks that the retry budget allows repeats.
 func (e *execution) reserve(d delegation) delegation {
 	var reserved []int
 	for _, i := range d.indexes {
 		state, _ := e.parts.Get(i)
-		if state.sentCount() > 0 && (state.sentCount() >= e.route.MaxAttempts || !e.relay.Budget.Allow(state.service)) {
+		if state.sentCount() >= e.route.MaxAttempts {
 			e.giveUp(i)
 			continue
 		}
@@ -175,7 +177,7 @@
 	}
 	err := e.relay.Collector.Collect(e.context, d.delegate, ramp.CollectRequest{
 		Message: e.message, Route: e.route, Services: services, Deadline: e.deadline, Separate: d.repeats(),
-		Insist: d.insists,
+		Insist: d.insists, BatchDelay: e.hedgeDelay,
 	}, func(b ramp.Batch) {
 		if !answered.Swap(true) {
 			e.observeDelegate(d, float64(len(b.Pending))/float64(len(d.indexes)))
@@ -303,7 +305,10 @@
 	started := r.Clock.Now()
 	e := r.newExecution(ctx, c.Message, c.Route, routing, started, c.Deadline)
 	defer e.cancel()
-	e.bound, e.insists = r.grouped(), c.Insist
+	e.bound, e.insists, e.repeats = e.grouped, c.Insist, c.Separate
+	if c.BatchDelay > 0 {
+		e.hedgeDelay = c.BatchDelay
+	}
 	e.mergedParts = make(chan int, e.partCount)
 	reported := make(map[int]bool)
 	if err := e.startCollection(reported, send); err != nil {
@@ -353,8 +358,7 @@
 	resumed := e.relay.resumed()
 	for i := range e.partCount {
 		state, _ := e.parts.Get(i)
-		domains := e.relay.Picker.Domains(state.service)
-		if !resumed && (!e.bound || e.insists || len(domains) > 0 && domains[0] == e.relay.Domain) {
+		if !resumed && e.mayCollect(state.service) {
 			usable = append(usable, i)
 			continue
 		}
@@ -373,6 +377,24 @@
 	return send(batch)
 }
 
+// mayCollect reports whether this daemon makes an attempt at the service for another
+// daemon. In a grouped fleet it counts the request, or takes the repeat from the
+// retry budget.
+func (e *execution) mayCollect(service string) bool {
+	if !e.bound {
+		return true
+	}
+	domains := e.relay.Picker.Domains(service)
+	if !e.insists && (len(domains) == 0 || domains[0] != e.relay.Domain) {
+		return false
+	}
+	if e.repeats {
+		return e.relay.Budget.Allow(service, e.slackShare(service))
+	}
+	e.relay.Budget.CountRequest(service)
+	return true
+}
+
 // firstBatch returns the parts received so far as one batch, which also lists
 // those still pending. It leaves out the reported parts, and marks the received
 // ones as reported.
--- a/query/domains_test.go
+++ b/query/domains_test.go
@@ -144,3 +144,28 @@
 	relay.Picker, relay.Exchanger, relay.Domain = newPicker(instances, domain, relay.Clock), s, domain
 	return relay
 }
+
+// TestBatchComesWhenItIsExpected guards against a delegate in order that counts as silent:
+// it sent its first batch by its own latencies, after the daemon that asked had given up
+// waiting, so that one in eight collections of a calm day moved parts to another daemon.
+func TestBatchComesWhenItIsExpected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		script := script{
+			"a-f": {delay: 5 * ms, status: 200, body: record1}, "b-f": {delay: 300 * ms, status: 200},
+			"b-x": {delay: 5 * ms, status: 200, body: record2},
+		}
+		exchange := &countingExchanger{script: script, calls: map[string]int{}}
+		near, far := newRelayInDomain("near", exchange, gathered()), newRelayInDomain("far", exchange, gathered())
+		for range 100 { // the delegate is used to slow replies
+			far.Budget.Observe("all", ramp.Attempt{Outcome: ramp.Merged, Elapsed: 80 * ms})
+		}
+		delegate := &fakeDelegate{relay: far}
+		near.Collector, near.Delegates = delegate, delegate
+		time.Sleep(time.Second)
+		d, err := near.Handle(t.Context(), ramp.Message{ID: "m", Target: "/x"}, 0)
+		synctest.Wait()
+		golden.Check(t, "batchtime", fmt.Sprintf("%s    late=%d\n", describeResult(d, err), delegate.lateReports))
+		near.Pool.Close()
+		far.Pool.Close()
+	})
+}
--- a/query/execution.go
+++ b/query/execution.go
@@ -28,6 +28,11 @@
 // one that does so after its failure, and two parts for the other daemons.
 const connectionHolders = 4
 
+// delegateSlackShare is the part of the slack of the retry budget that the delegates
+// of a service have together. The others have the rest for attempts that they make
+// themselves.
+const delegateSlackShare = 2.0 / 3
+
 // returnSpread is the greatest part of a delay that is added to the time after
 // which a refused caller may retry.
 const returnSpread = 0.25
@@ -60,7 +65,9 @@
 	received       atomic.Int64 // parts that were received
 	quorumSuffices atomic.Bool  // set once the wait for a complete answer is over
 	delegates      bool         // attempts may be made through other daemons
+	grouped        bool         // all replicas are left to their delegates, see [ramp.DelegateSelector]
 	bound          bool         // only replicas in this daemon's failure domain may be used
+	repeats        bool         // with bound, earlier attempts were made for the parts
 	insists        bool         // with bound, replicas that are not healthy may be used
 	mergedParts    chan int     // indexes of received parts; nil unless this daemon is the delegate
 
@@ -90,6 +97,7 @@
 	if !route.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
+	e.grouped = route.Gathered() && r.grouped()
 	e.delegates = route.Gathered() && route.MaxAttempts > 1 && r.Delegates != nil && len(m.Body) == 0
 	e.context, e.cancel = context.WithCancel(ctx)
 	e.remaining.Store(int64(e.partCount))
@@ -107,9 +115,8 @@
 	expired := make(chan struct{})
 	stop := clock.AfterFunc(e.deadline.Sub(clock.Now()), func() { close(expired) })
 	defer stop()
-	for i := range e.partCount {
-		state, _ := e.parts.Get(i)
-		e.relay.Budget.CountRequest(state.service) // not in the delegate, since this daemon makes the retries and hedges
+	if !e.grouped {
+		e.countRequests() // not in the delegate, since this daemon makes the retries and hedges
 	}
 	if e.route.Gathered() && e.route.Objective > 0 {
 		defer clock.AfterFunc(e.fullAnswerWait(), e.acceptQuorum)()
@@ -141,6 +148,28 @@
 	return e.result(r, callerLeft)
 }
 
+// countRequests counts a request for the service of each part in the retry budget.
+func (e *execution) countRequests() {
+	for i := range e.partCount {
+		state, _ := e.parts.Get(i)
+		e.relay.Budget.CountRequest(state.service)
+	}
+}
+
+// slackShare returns this daemon's part of the slack of the retry budget for a
+// service, or 0 for an equal part. In a grouped fleet the delegates of the service,
+// one for each failure domain with replicas, have most of it, since the repeats go
+// through them.
+func (e *execution) slackShare(service string) float64 {
+	if !e.grouped {
+		return 0
+	}
+	if e.bound || e.relay.Delegates.Select(e.relay.Domain, []string{service})[0].Self {
+		return delegateSlackShare / float64(max(1, e.relay.Picker.Spread(service)))
+	}
+	return (1 - delegateSlackShare) / float64(max(1, e.relay.FleetSize()))
+}
+
 // refusalDelay returns the time until the replicas accept enough parts for the
 // quorum, if that is longer than a part waits, and 0 otherwise. A message that
 // cannot be answered is then refused before any replica works on it.
@@ -255,7 +284,7 @@
 	}
 	a := e.newAttempt(state.service, kind, instance, pick)
 	if kind == ramp.Hedge && pick.Health != ramp.HealthOK ||
-		state.sentCount() > 0 && !e.relay.Budget.Allow(state.service) {
+		state.sentCount() > 0 && !e.relay.Budget.Allow(state.service, e.slackShare(state.service)) {
 		e.relay.Picker.Done(a.WithOutcome(ramp.Cancelled, 0, false))
 		e.giveUp(index)
 		return
@@ -316,7 +345,7 @@
 // when these fail.
 func (e *execution) connectionShare(service string) int {
 	holders := max(1, e.relay.FleetSize())
-	if e.route.Gathered() && e.relay.grouped() {
+	if e.grouped {
 		holders = min(holders, connectionHolders)
 	}
 	return max(1, e.routing.MaxConnections[service]/holders)
--- a/query/relay.go
+++ b/query/relay.go
@@ -224,16 +224,16 @@
 const maxLoggedAttempts = 24
 
 // formatAttempts returns the attempts whose reply is not in the answer and all
-// retries and hedges, as kind/service/replica/start/elapsed/outcome. What the
-// picker knew of the replica follows: health, number of candidates, expected
-// latency and age of the entry, or a dash if no picker was asked. Times are in
-// milliseconds.
+// retries and hedges, without those that a delegate gave back unsent, as
+// kind/service/replica/start/elapsed/outcome. What the picker knew of the replica
+// follows: health, number of candidates, expected latency and age of the entry, or
+// a dash if no picker was asked. Times are in milliseconds.
 func formatAttempts(attempts []ramp.Attempt) string {
 	var b strings.Builder
 	written := 0
 	for i := range attempts {
 		a := &attempts[i]
-		if a.Outcome == ramp.Merged && a.Kind == ramp.First {
+		if a.Outcome == ramp.Merged && a.Kind == ramp.First || a.Outcome == ramp.NotStarted && a.Delegate != "" {
 			continue
 		}
 		if written++; written > maxLoggedAttempts {
--- a/relay.go
+++ b/relay.go
@@ -19,6 +19,8 @@
 	// Domains returns the failure domains in which the service has a healthy replica,
 	// each once, the daemon's own domain first if it is among them.
 	Domains(service string) []string
+	// Spread returns the number of failure domains in which the service has replicas.
+	Spread(service string) int
 }
 
 // PickRequest is an attempt that needs a replica.
@@ -68,8 +70,9 @@
 	// CountRequest counts a caller's request for the service.
 	CountRequest(service string)
 	// Allow reports whether another attempt at the service fits in the budget now,
-	// and deducts it.
-	Allow(service string) bool
+	// and deducts it. Share is this daemon's part of the slack of the fleet, or 0 for
+	// an equal part.
+	Allow(service string, share float64) bool
 	// HedgeDelay returns the time after which an attempt on the route is hedged.
 	HedgeDelay(route Route) time.Duration
 	// MedianLatency returns the median latency of replies on the route, 0 if unknown.
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -325,3 +325,14 @@
 	}
 	return domains
 }
+
+// Spread implements [ramp.Picker].
+func (p *Picker) Spread(service string) int {
+	var domains []string
+	for _, r := range p.instances.ofService(service) {
+		if !slices.Contains(domains, r.Domain) {
+			domains = append(domains, r.Domain)
+		}
+	}
+	return len(domains)
+}
--- a/retry/fleet_budget.go
+++ b/retry/fleet_budget.go
@@ -110,9 +110,9 @@
 }
 
 // Allow implements [ramp.RetryBudget].
-func (r *FleetBudget) Allow(service string) bool {
+func (r *FleetBudget) Allow(service string, share float64) bool {
 	now := r.clock.Now()
-	slot, slack := r.slotAt(now), r.ownSlack(now)
+	slot, slack := r.slotAt(now), r.ownSlack(share, now)
 	allowed := false
 	r.counts.Update(service, func(c windowCounts) windowCounts {
 		c = c.advancedTo(slot)
@@ -125,11 +125,15 @@
 	return allowed
 }
 
-// ownSlack returns the daemon's part of the slack. It grows linearly over the first
-// window, since the daemon may have spent its part before a restart.
-func (r *FleetBudget) ownSlack(now time.Time) float64 {
+// ownSlack returns the daemon's part of the slack, of which its share is 0 for an equal
+// part. It grows linearly over the first window, since the daemon may have spent its
+// part before a restart.
+func (r *FleetBudget) ownSlack(share float64, now time.Time) float64 {
+	if share == 0 {
+		share = 1 / float64(max(minFleetSize, r.fleetSize()))
+	}
 	age := min(1, float64(now.Sub(r.startedAt))/float64(r.bounds.Window))
-	return ownSlackShare * r.bounds.Slack * age / float64(max(minFleetSize, r.fleetSize()))
+	return ownSlackShare * r.bounds.Slack * age * share
 }
 
 // HedgeDelay implements [ramp.RetryBudget].
--- a/retry/fleet_budget_test.go
+++ b/retry/fleet_budget_test.go
@@ -26,26 +26,46 @@
 		members int // fleet size that each daemon assumes
 		rate    int // requests per second of all daemons
 		restart time.Duration
+		share   func(daemon int) float64 // of the slack; 0 for an equal part
 	}{
-		{"five daemons", 5, 5, 90, 0},
-		{"five daemons, few requests", 5, 5, 5, 0},
-		{"five daemons, restarts", 5, 5, 90, 7 * time.Second},
-		{"36 daemons", 36, 36, 45, 0},
-		{"naive: whole slack for each daemon", 5, 0, 90, 0},
+		{"five daemons", 5, 5, 90, 0, equalShare},
+		{"five daemons, few requests", 5, 5, 5, 0, equalShare},
+		{"five daemons, restarts", 5, 5, 90, 7 * time.Second, equalShare},
+		{"36 daemons", 36, 36, 45, 0, equalShare},
+		{"117 daemons, three of them delegates", 117, 117, 45, 0, delegateShare},
+		{"117 daemons, three of them delegates, restarts", 117, 117, 45, 3 * time.Second, delegateShare},
+		{"naive: whole slack for each daemon", 5, 0, 90, 0, equalShare},
+		{"naive: whole slack for each delegate", 117, 117, 45, 0, func(daemon int) float64 {
+			return 3 * delegateShare(daemon)
+		}},
 	}
 	var b strings.Builder
 	for _, test := range tests {
 		synctest.Test(t, func(*testing.T) {
-			excess := maxExcess(bounds, test.daemons, test.members, test.rate, test.restart)
+			excess := maxExcess(bounds, test.daemons, test.members, test.rate, test.restart, test.share)
 			fmt.Fprintf(&b, "%s: within the bound %t\n", test.name, excess <= 0)
 		})
 	}
 	golden.Check(t, "fleetbudget", b.String())
 }
 
+// equalShare gives each daemon an equal part of the slack.
+func equalShare(int) float64 { return 0 }
+
+// delegateShare gives two thirds of the slack to three delegates, and the rest to 117
+// daemons.
+func delegateShare(daemon int) float64 {
+	if daemon < 3 {
+		return 2.0 / 3 / 3
+	}
+	return 1.0 / 3 / 117
+}
+
 // maxExcess returns the largest number of extra attempts beyond the bound in any
 // window.
-func maxExcess(bounds Bounds, daemons, members, rate int, restart time.Duration) float64 {
+func maxExcess(
+	bounds Bounds, daemons, members, rate int, restart time.Duration, share func(daemon int) float64,
+) float64 {
 	random := rand.New(rand.NewPCG(1, 2))
 	fleetSize := func() int { return members }
 	daemonBounds := bounds
@@ -71,8 +91,8 @@
 			requests = append(requests, time.Now())
 			fleet[random.IntN(daemons)].CountRequest("s")
 		}
-		for _, d := range fleet {
-			for d.Allow("s") {
+		for i, d := range fleet {
+			for d.Allow("s", share(i)) {
 				extras = append(extras, time.Now())
 			}
 		}
