query: close parts before they are given back as unsent

Cause: when the first batch was due, a part whose attempt still waited for a worker was reported as unsent; the daemon that asks then made an attempt elsewhere that counted as the first one, and the waiting one ran as well.

TestUnsentPartsNeverRun fails without the fix for two of three parts.

--- a/query/delegation.go
+++ b/query/delegation.go
@@ -412,16 +412,24 @@
 			batch.Received = append(batch.Received, ramp.ReceivedPart{Index: i, Stamp: s.response.Stamp})
 			continue
 		}
-		pending := ramp.PendingPart{Index: i}
-		if len(s.attempts) > 0 {
-			pending.Replica = s.attempts[len(s.attempts)-1].Replica.ID
-		}
-		batch.Pending = append(batch.Pending, pending)
+		batch.Pending = append(batch.Pending, e.pendingPart(i))
 	}
 	batch.Records = topRecords(bodies, count)
 	return batch
 }
 
+// pendingPart returns a part without a response, with the replica that its newest
+// attempt was sent to. A part without an attempt is closed first, so that an attempt
+// that waits for a worker is not made after the part was given back as unsent.
+func (e *execution) pendingPart(index int) ramp.PendingPart {
+	e.giveUp(index) // no effect with a pending attempt
+	pending := ramp.PendingPart{Index: index}
+	if s, _ := e.parts.Get(index); len(s.attempts) > 0 {
+		pending.Replica = s.attempts[len(s.attempts)-1].Replica.ID
+	}
+	return pending
+}
+
 // sendLateParts sends each part received after the first batch as a batch of
 // its own, until all parts are received or given up, or ctx ends.
 func (e *execution) sendLateParts(ctx context.Context, reported map[int]bool, send func(ramp.Batch) error) error {
--- a/query/domains_test.go
+++ b/query/domains_test.go
@@ -169,3 +169,41 @@
 		far.Pool.Close()
 	})
 }
+
+// TestUnsentPartsNeverRun guards against a part that a delegate gives back as unsent while
+// an attempt for it waits for a worker: the attempt ran later, beside as many as the route
+// allows. Found by the soak, seed 402 with 12 daemons.
+func TestUnsentPartsNeverRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := behaviour{delay: 70 * ms, status: 200, body: record1, ignoresCancel: true}
+		script := script{
+			"a-x": slow, "b-x": slow, "c-x": slow, "a-y": slow, "b-y": slow, "c-y": slow, "a-z": slow, "b-z": slow, "c-z": slow,
+		}
+		exchange := &countingExchanger{script: script, calls: map[string]int{}}
+		route := gathered()
+		route.Gather = []string{"a", "b", "c"}
+		delegates := domainDelegates{}
+		for _, domain := range []string{"x", "y", "z"} {
+			delegates[domain] = newDomainRelay(domain, script, "", route)
+		}
+		for _, r := range delegates {
+			r.Delegates, r.Exchanger, r.Pool = delegates, exchange, ramp.NewPool(1, 64)
+		}
+		relay := newDomainRelay("own", script, "", route)
+		relay.Collector, relay.Delegates = delegates, delegates
+		time.Sleep(time.Second)
+		_, _ = relay.Handle(t.Context(), ramp.Message{ID: "m", Target: "/x"}, 0)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		var b strings.Builder
+		for _, service := range route.Gather {
+			runs := exchange.calls[service+"-x"] + exchange.calls[service+"-y"] + exchange.calls[service+"-z"]
+			fmt.Fprintf(&b, "%s ran at no more replicas than the route allows: %t\n", service, runs <= route.MaxAttempts)
+		}
+		golden.Check(t, "unsent", b.String())
+		relay.Pool.Close()
+		for _, r := range delegates {
+			r.Pool.Close()
+		}
+	})
+}
