--- a/query/execution.go
+++ b/query/execution.go
@@ -66,10 +66,8 @@
 	quorumSuffices atomic.Bool  // set once the wait for a complete answer is over
 	delegates      bool         // attempts may be made through other daemons
 	grouped        bool         // all replicas are left to their delegates, see [ramp.DelegateSelector]
-	bound          bool         // only replicas in this daemon's failure domain may be used
-	repeats        bool         // with bound, earlier attempts were made for the parts
-	insists        bool         // with bound, replicas that are not healthy may be used
-	mergedParts    chan int     // indexes of received parts; nil unless this daemon is the delegate
+
+	collection // how parts are collected for another daemon; zero if they are not
 
 	orderOnce sync.Once // sets order
 	order     []string  // see [execution.domainOrder]
