--- a/bench/relays.go
+++ b/bench/relays.go
@@ -22,33 +22,33 @@
 
 // Parameters of the model of replicas.
 const (
-	handshakeTime  = 6 * time.Millisecond    // of a slot, for a new connection
-	pauseTime      = 150 * time.Millisecond  // for which a replica does nothing
-	pauseInterval  = 3600 * time.Millisecond // between the starts of two pauses of a replica
-	replicaSlots   = 3
-	nearHop        = 200 * time.Microsecond // one way, within a failure domain
-	farHop         = 900 * time.Microsecond // one way, between failure domains
-	maxConnections = 175                    // of a replica, from all daemons
-	gossipRound    = 400 * time.Millisecond // until a daemon that is not silent is heard again
+	handshakeTime   = 6 * time.Millisecond    // of a slot, for a new connection
+	pauseTime       = 150 * time.Millisecond  // for which a replica does nothing
+	pauseInterval   = 3600 * time.Millisecond // between the starts of two pauses of a replica
+	replicaSlots    = 3
+	nearHop         = 200 * time.Microsecond // one way, within a failure domain
+	farHop          = 900 * time.Microsecond // one way, between failure domains
+	connectionLimit = 175                    // of a replica, from all daemons
+	gossipRound     = 400 * time.Millisecond // until a daemon that is not silent is heard again
 )
 
 // relayLoad is a load on a fleet of daemons over shared replicas, and the faults that
 // come with it. It answers the heaviest days of large deployments: bursts while replicas
 // of many shards are slow or down and daemons are cut off.
 type relayLoad struct {
-	domains     []string
-	daemons     int           // for each domain
-	shards      int           // services of the route, each with a replica in each domain
-	rate        int           // requests per second, of all daemons
-	work        time.Duration // mean time of a reply
-	objective   time.Duration
-	minCoverage float64
-	duration    time.Duration
-	slow        float64 // share of the replicas that take slowFactor times as long
-	slowFactor  float64
-	down        float64 // share of the replicas that refuse connections
-	silent      float64 // share of the daemons that answer nobody
-	grouped     bool    // daemons collect parts for each other; each one fetches all parts by itself otherwise
+	domains       []string
+	daemons       int           // for each domain
+	shards        int           // services of the route, each with a replica in each domain
+	rate          int           // requests per second, of all daemons
+	work          time.Duration // mean time of a reply
+	objective     time.Duration
+	leastCoverage float64
+	duration      time.Duration
+	slow          float64 // share of the replicas that take slowFactor times as long
+	slowFactor    float64
+	down          float64 // share of the replicas that refuse connections
+	silent        float64 // share of the daemons that answer nobody
+	grouped       bool    // daemons collect parts for each other; each one fetches all parts by itself otherwise
 }
 
 // relayResult is what callers got from a relayLoad.
@@ -208,13 +208,13 @@
 	clock := ramp.SystemClock{}
 	route := ramp.Route{
 		Name: "sweep", Prefix: "/", Idempotent: true, MaxAttempts: 2, Timeout: 10 * load.objective,
-		Objective: load.objective, TopK: 10, MinCoverage: load.minCoverage,
+		Objective: load.objective, TopK: 10, MinCoverage: load.leastCoverage,
 	}
 	limits := map[string]int{}
 	var instances []ramp.Instance
 	for s := range load.shards {
 		service := fmt.Sprintf("shard%03d", s)
-		route.Gather, limits[service] = append(route.Gather, service), maxConnections
+		route.Gather, limits[service] = append(route.Gather, service), connectionLimit
 		for _, domain := range load.domains {
 			id := service + domain
 			m.replicas[id] = newModelReplica(load, random)
--- a/bench/relays_test.go
+++ b/bench/relays_test.go
@@ -29,7 +29,7 @@
 func TestBoundsGroups(t *testing.T) {
 	calm := relayLoad{
 		domains: []string{"x", "y", "z"}, daemons: 6, shards: 60, rate: 24, work: 15 * time.Millisecond,
-		objective: 120 * time.Millisecond, minCoverage: 0.95, duration: 20 * time.Second,
+		objective: 120 * time.Millisecond, leastCoverage: 0.95, duration: 20 * time.Second,
 	}
 	slow := calm
 	slow.rate, slow.slow, slow.slowFactor = 36, 0.24, 9
--- a/fleet/delegates.go
+++ b/fleet/delegates.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -89,15 +90,13 @@
 // daemon included, sorted by id.
 func (h *DelegateSelector) candidates(domain string) []ramp.Daemon {
 	now := h.clock.Now()
-	return h.members.filter(func(m member) bool {
-		if m.daemon.Domain != domain || m.daemon.Leaving {
-			return false
-		}
-		if m.daemon.Incarnation == h.members.self {
-			return true
-		}
-		failed, _ := h.failed.Get(m.daemon.Incarnation)
-		return !m.failedRecently(now) && !now.Before(failed.retryAt)
+	responsive := h.members.filter(func(m member) bool {
+		isSelf := m.daemon.Incarnation == h.members.self
+		return m.daemon.Domain == domain && !m.daemon.Leaving && (isSelf || !m.failedRecently(now))
+	})
+	return slices.DeleteFunc(responsive, func(d ramp.Daemon) bool {
+		failed, _ := h.failed.Get(d.Incarnation)
+		return d.Incarnation != h.members.self && now.Before(failed.retryAt)
 	})
 }
 
