fleet, replica: count the bound on departures from the store's acknowledgement

Cause: two spans were added. A daemon that does not watch the store may go without its word for 5/6 of the bound, and only when it learned of the change did the grace period of the replica begin: up to 2/3 of the bound after its removal, 1/3 after it reported that it drains. Change: the view knows when the store last confirmed it. A change that it did not contain was acknowledged no earlier than that, and a grace period ends with the bound counted from then, less a twentieth for the request on its way. A confirmation counts only once its changes are applied: it was recorded before, and a daemon could pass on an age that its view did not have. What changes during an outage of the store counts from the end of the outage, since entries that expired meanwhile come back. A draining entry in a daemon's first list has an unknown age, so its replica gets nothing. A bound on configuration that is longer than the drain bound no longer delays the news of departures. No call to the store was added.

--- a/bench/relays.go
+++ b/bench/relays.go
@@ -238,7 +238,7 @@
 		routes, registered := fleet.NewRoutes(), replica.NewInstances(6*time.Second, clock)
 		routes.Update(ramp.Routing{Version: 1, MaxConnections: limits}.WithRoutes([]ramp.Route{route}))
 		for _, i := range instances {
-			registered.Update(i)
+			registered.Update(i, clock.Now())
 		}
 		members := fleet.NewMembers(d, clock)
 		members.Replace(daemons)
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -121,7 +121,7 @@
 	e.observer = &fleet.Observer{
 		Clock: clock, Log: e.log, Self: e.self, Store: store, Registry: platform.Registry{Store: store},
 		Translator: platform.Translator{}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
-		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
+		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: min(d.ApplyBound, d.DrainBound),
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
 	}
 	e.observer.Init()
--- a/fleet/limit_shares_test.go
+++ b/fleet/limit_shares_test.go
@@ -127,7 +127,7 @@
 	)
 	i := ramp.Instance{Replica: ramp.Replica{ID: "r", Address: "r", Domain: "z0"}, Service: "s", State: ramp.Live}
 	instances := replica.NewInstances(3*time.Second, ramp.SystemClock{})
-	instances.Update(i)
+	instances.Update(i, time.Now())
 	newPicker := func(s fleet.LimitShares) *replica.Picker {
 		var shares ramp.LimitSharer = s
 		if naive {
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -128,12 +129,12 @@
 // [ramp.InstanceTracker].
 type replicaLog struct{ lines []string }
 
-func (r *replicaLog) Update(i ramp.Instance) bool {
+func (r *replicaLog) Update(i ramp.Instance, _ time.Time) bool {
 	r.lines = append(r.lines, "updated "+i.ID)
 	return true
 }
 
-func (r *replicaLog) MarkRemoved(id string) bool {
+func (r *replicaLog) MarkRemoved(id string, _ time.Time) bool {
 	r.lines = append(r.lines, "removed "+id)
 	return true
 }
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -70,15 +70,16 @@
 	Seeds      func() []ramp.Daemon // daemons to contact while no member is known; only PeerAddress is set
 	Leaving    <-chan struct{}      // closed when the daemon starts to leave
 
-	confirmedAt atomic.Int64                     // time from started to the last store confirmation, in ns; 0 for none
-	gossipTurn  atomic.Uint64                    // gossip periods so far; selects the next target
-	storeTried  chan struct{}                    // closed when the first call to the store has succeeded or failed
-	applyMutex  *ramp.Mutex                      // held while a change is applied
-	started     time.Time                        // when Init was called
-	fleetSize   *ramp.Table[string, fleetSize]   // a single entry under the key ""
-	registered  *ramp.Table[string, ramp.Daemon] // by incarnation, as listed in the store
-	seen        *ramp.Table[string, seenDaemon]  // by incarnation, from gossip
-	reachable   *ramp.Table[string, bool]        // by dependency, whether its last call was answered
+	confirmedAt   atomic.Int64                     // time from started to the last store confirmation, in ns; 0 for none
+	outageEndedAt atomic.Int64                     // time from started to the end of the last store outage, in ns; 0 for none
+	gossipTurn    atomic.Uint64                    // gossip periods so far; selects the next target
+	storeTried    chan struct{}                    // closed when the first call to the store has succeeded or failed
+	applyMutex    *ramp.Mutex                      // held while a change is applied
+	started       time.Time                        // when Init was called
+	fleetSize     *ramp.Table[string, fleetSize]   // a single entry under the key ""
+	registered    *ramp.Table[string, ramp.Daemon] // by incarnation, as listed in the store
+	seen          *ramp.Table[string, seenDaemon]  // by incarnation, from gossip
+	reachable     *ramp.Table[string, bool]        // by dependency, whether its last call was answered
 }
 
 // seenDaemon is a daemon as stated in its own last gossip message. It is an
@@ -203,9 +204,13 @@
 		pause := min(observerMaxPause, observerPause<<min(failures, maxBackoffShift))
 		failures++
 		if err == nil {
+			if failures > 1 {
+				o.recordOutage()
+			}
 			failures = 0
-			o.confirm(confirmedAt(started, o.Clock.Now(), wait, len(entries)))
+			ended := o.Clock.Now()
 			o.applyChange(ramp.EntryChange{FromRevision: after, ToRevision: until, Entries: entries}, "store")
+			o.confirm(confirmedAt(started, ended, wait, len(entries))) // only now does the view contain the changes
 			after, pause = max(after, until), 0
 			if len(entries) > 0 {
 				pause = o.ApplyBound / batchDivisor
@@ -248,10 +253,28 @@
 	}
 }
 
+// recordOutage records that the store answers again after an outage.
+func (o *Observer) recordOutage() {
+	o.outageEndedAt.Store(int64(o.Clock.Now().Sub(o.started)))
+}
+
+// changedNotBefore returns the earliest time at which the store can have acknowledged a
+// change that the view does not contain yet: that of the last confirmation. It is zero
+// without one. What the store changed during an outage counts from its end, since the
+// entries that expired meanwhile are about to be written again.
+func (o *Observer) changedNotBefore() time.Time {
+	at := o.confirmedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return o.started.Add(time.Duration(max(at, o.outageEndedAt.Load())))
+}
+
 // applyChange applies a change of the store.
 func (o *Observer) applyChange(c ramp.EntryChange, source string) {
 	o.applyMutex.Lock()
 	defer o.applyMutex.Unlock()
+	notBefore := o.changedNotBefore()
 	changed := o.Mirror.Apply(c)
 	for _, e := range changed {
 		record, err := o.Translator.Translate(e)
@@ -259,13 +282,13 @@
 			o.Log.Warn("store entry ignored", "key", e.Key, "revision", e.Revision, "source", source, "error", err)
 			continue
 		}
-		o.applyEntry(e, record, source)
+		o.applyEntry(e, record, notBefore, source)
 	}
 	o.publishMembers()
 }
 
-// applyEntry applies a changed entry of the store.
-func (o *Observer) applyEntry(e ramp.Entry, r ramp.Record, source string) {
+// applyEntry applies an entry that the store changed no earlier than notBefore.
+func (o *Observer) applyEntry(e ramp.Entry, r ramp.Record, notBefore time.Time, source string) {
 	age, _ := o.ConfirmedAge()
 	switch {
 	case r.Routing != nil:
@@ -274,11 +297,11 @@
 				"revision", e.Revision, "source", source, "age", age)
 		}
 	case r.Instance != nil && e.Removed:
-		if o.Replicas.MarkRemoved(r.Instance.ID) {
+		if o.Replicas.MarkRemoved(r.Instance.ID, notBefore) {
 			o.Log.Info("replica deregistered", "replica", r.Instance.ID, "revision", e.Revision, "source", source)
 		}
 	case r.Instance != nil:
-		if o.Replicas.Update(*r.Instance) {
+		if o.Replicas.Update(*r.Instance, notBefore) {
 			o.Log.Info("replica updated", "replica", r.Instance.ID, "service", r.Instance.Service,
 				"address", r.Instance.Address, "state", r.Instance.State, "born", r.Instance.StartedMillis,
 				"revision", e.Revision, "source", source)
--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -37,7 +37,10 @@
 }
 
 // partition is the set of daemons that are cut off from the others.
-type partition struct{ ids sync.Map }
+type partition struct {
+	ids    sync.Map
+	frozen sync.Map // those that accept messages but do not answer
+}
 
 func (c *partition) add(id string) { c.ids.Store(id, true) }
 
@@ -46,6 +49,17 @@
 	return cut
 }
 
+// freeze cuts a daemon off, without an answer to those that send it messages.
+func (c *partition) freeze(id string) {
+	c.frozen.Store(id, true)
+	c.add(id)
+}
+
+func (c *partition) thaw(id string) {
+	c.ids.Delete(id)
+	c.frozen.Delete(id)
+}
+
 // testPeers connects observers with each other. It implements [ramp.Peers].
 type testPeers struct {
 	ramp.Peers
@@ -55,7 +69,11 @@
 }
 
 // Gossip implements [ramp.Peers].
-func (w testPeers) Gossip(_ context.Context, to ramp.Daemon, msg ramp.GossipMessage) (ramp.GossipMessage, error) {
+func (w testPeers) Gossip(ctx context.Context, to ramp.Daemon, msg ramp.GossipMessage) (ramp.GossipMessage, error) {
+	if _, frozen := w.cut.frozen.Load(to.PeerAddress); frozen {
+		<-ctx.Done()
+		return ramp.GossipMessage{}, &ramp.PeerError{Daemon: to.ID, Sent: true, Cause: ctx.Err()}
+	}
 	d, known := w.daemons[to.PeerAddress]
 	if !known || w.cut.has(to.PeerAddress) || w.cut.has(w.from) {
 		return ramp.GossipMessage{}, &ramp.PeerError{Daemon: to.ID, Cause: errors.New("cut")}
@@ -68,6 +86,13 @@
 func startObservers(
 	ctx context.Context, store *standin.Store, count int, bound time.Duration,
 ) (map[string]*testObserver, *partition) {
+	all, cut := newObservers(store, count, bound)
+	runObservers(ctx, all)
+	return all, cut
+}
+
+// newObservers returns the daemons of startObservers before they are started.
+func newObservers(store *standin.Store, count int, bound time.Duration) (map[string]*testObserver, *partition) {
 	clock := ramp.SystemClock{}
 	all, cut := make(map[string]*testObserver), &partition{}
 	for i := range count {
@@ -88,13 +113,17 @@
 		o.Init()
 		all[id] = &testObserver{Observer: o, replicas: replicas}
 	}
+	return all, cut
+}
+
+// runObservers runs the daemons until ctx ends.
+func runObservers(ctx context.Context, all map[string]*testObserver) {
 	for _, o := range all {
 		go func() {
 			o.Run(ctx)
 			o.Pool.Close()
 		}()
 	}
-	return all, cut
 }
 
 // TestObservers records how many daemons have the newest configuration in time
--- a/query/delegation_test.go
+++ b/query/delegation_test.go
@@ -207,7 +207,7 @@
 		}
 		instances.Update(ramp.Instance{
 			Replica: ramp.Replica{ID: id, Address: id, Domain: where}, Service: name, State: ramp.Live,
-		})
+		}, time.Now())
 	}
 	relay.Picker, relay.Exchanger, relay.Domain = newPicker(instances, domain, relay.Clock), exchange, domain
 	return relay
--- a/query/domains_test.go
+++ b/query/domains_test.go
@@ -138,7 +138,7 @@
 		if id != unknown {
 			instances.Update(ramp.Instance{
 				Replica: ramp.Replica{ID: id, Address: id, Domain: where}, Service: service, State: ramp.Live,
-			})
+			}, time.Now())
 		}
 	}
 	relay.Picker, relay.Exchanger, relay.Domain = newPicker(instances, domain, relay.Clock), s, domain
--- a/query/misdirected_test.go
+++ b/query/misdirected_test.go
@@ -117,7 +117,8 @@
 func instancesOf(s script, relay *query.Relay) *replica.Instances {
 	instances := replica.NewInstances(3*time.Second, relay.Clock)
 	for id := range s {
-		instances.Update(ramp.Instance{Replica: ramp.Replica{ID: id, Address: id}, Service: "a", State: ramp.Live})
+		i := ramp.Instance{Replica: ramp.Replica{ID: id, Address: id}, Service: "a", State: ramp.Live}
+		instances.Update(i, time.Now())
 	}
 	return instances
 }
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -73,7 +73,8 @@
 	routes.Update(ramp.Routing{Version: 7}.WithRoutes([]ramp.Route{route}))
 	for id := range s {
 		name, _, _ := strings.Cut(id, "-")
-		instances.Update(ramp.Instance{Replica: ramp.Replica{ID: id, Address: id}, Service: name, State: ramp.Live})
+		i := ramp.Instance{Replica: ramp.Replica{ID: id, Address: id}, Service: name, State: ramp.Live}
+		instances.Update(i, clock.Now())
 	}
 	one := func() int { return 1 }
 	relay := &query.Relay{
--- a/relay.go
+++ b/relay.go
@@ -106,12 +106,13 @@
 
 // InstanceTracker tracks the replicas registered in the store.
 type InstanceTracker interface {
-	// Update records the entry of a replica. It reports whether the replica is new or
-	// registered again, or its state or start changed.
-	Update(i Instance) bool
-	// MarkRemoved records that an entry was removed, and reports whether the replica
-	// is known.
-	MarkRemoved(id string) bool
+	// Update records the entry of a replica, which the store acknowledged no earlier
+	// than notBefore. It reports whether the replica is new or registered again, or its
+	// state or start changed.
+	Update(i Instance, notBefore time.Time) bool
+	// MarkRemoved records that an entry was removed, which the store acknowledged no
+	// earlier than notBefore. It reports whether the replica is known.
+	MarkRemoved(id string, notBefore time.Time) bool
 	// Expire evicts and returns the replicas whose entries have been missing for
 	// longer than the grace period.
 	Expire() []Instance
--- a/replica/instances.go
+++ b/replica/instances.go
@@ -9,27 +9,31 @@
 	ramp "sycamoreramp.example/sycamoreramp"
 )
 
-// Grace periods of replicas that are about to leave the service.
+// Grace periods of replicas that are about to leave the service. The drain bound counts
+// from the store's acknowledgement of the change, so a grace period that starts when the
+// change is found also ends with the bound, see [gracePeriods.end].
 const (
 	// deregisteredGrace is how long an entry may be missing before its replica counts
 	// as gone: the platform guarantees that entries whose leases expired during an
 	// outage of the store are registered again within two seconds.
 	deregisteredGrace = 2 * time.Second
 	// deregisteredShare caps deregisteredGrace as a share of the drain bound, which
-	// also holds for replicas that leave by deleting their entry. The rest of the bound
-	// is for the propagation of the change.
+	// also holds for replicas that leave by deleting their entry.
 	deregisteredShare = 2.0 / 3
 	// drainingShare is the share of the drain bound for which a draining replica still
 	// serves when no other does.
 	drainingShare = 1.0 / 3
+	// arrivalShare is the share of the drain bound that is reserved for a request on its
+	// way to the replica.
+	arrivalShare = 1.0 / 20
 )
 
 // registration is a replica as registered in the store. It is an immutable value.
 type registration struct {
 	ramp.Instance
 	readAt        time.Time // when the entry was read
-	removedAt     time.Time // when the entry was found deleted; zero while it exists
-	drainingSince time.Time // when the replica was first seen to drain; zero for never
+	removedUntil  time.Time // end of the grace period after its entry was found deleted; zero while it exists
+	drainingUntil time.Time // end of the grace period after it was first seen to drain; zero for never
 	grace         gracePeriods
 }
 
@@ -38,6 +42,7 @@
 type gracePeriods struct {
 	deregistered time.Duration // after its entry was found deleted; positive
 	draining     time.Duration // after it was first seen to drain; positive
+	bound        time.Duration // after the store acknowledged either; positive
 }
 
 // newGracePeriods returns the grace periods under a drain bound.
@@ -45,25 +50,36 @@
 	return gracePeriods{
 		deregistered: min(deregisteredGrace, time.Duration(deregisteredShare*float64(drainBound))),
 		draining:     time.Duration(drainingShare * float64(drainBound)),
+		bound:        time.Duration((1 - arrivalShare) * float64(drainBound)),
 	}
 }
 
+// end returns the end of a grace period for a change that was found now, and that the
+// store acknowledged no earlier than notBefore.
+func (g gracePeriods) end(grace time.Duration, notBefore, now time.Time) time.Time {
+	end := now.Add(grace)
+	if bound := notBefore.Add(g.bound); bound.Before(end) {
+		return bound
+	}
+	return end
+}
+
 // withInstance returns the registration after its entry was written again.
-func (r registration) withInstance(i ramp.Instance, now time.Time) registration {
-	drainingSince := r.drainingSince
+func (r registration) withInstance(i ramp.Instance, notBefore, now time.Time) registration {
+	drainingUntil := r.drainingUntil
 	switch {
 	case i.State != ramp.Leaving:
-		drainingSince = time.Time{}
-	case drainingSince.IsZero() || !i.SameStart(r.Instance):
-		drainingSince = now
+		drainingUntil = time.Time{}
+	case drainingUntil.IsZero() || !i.SameStart(r.Instance):
+		drainingUntil = r.grace.end(r.grace.draining, notBefore, now)
 	}
-	return registration{Instance: i, readAt: now, drainingSince: drainingSince, grace: r.grace}
+	return registration{Instance: i, readAt: now, drainingUntil: drainingUntil, grace: r.grace}
 }
 
 // withRemoval returns the registration after its entry was deleted.
-func (r registration) withRemoval(now time.Time) registration {
-	if r.removedAt.IsZero() {
-		r.removedAt = now
+func (r registration) withRemoval(notBefore, now time.Time) registration {
+	if r.removedUntil.IsZero() {
+		r.removedUntil = r.grace.end(r.grace.deregistered, notBefore, now)
 	}
 	return r
 }
@@ -71,8 +87,8 @@
 // withLeavingSince returns the registration of a replica that itself said that it leaves,
 // unless its entry said so earlier. The time is zero if it did not.
 func (r registration) withLeavingSince(at time.Time) registration {
-	if !at.IsZero() && (r.drainingSince.IsZero() || at.Before(r.drainingSince)) {
-		r.drainingSince = at
+	if until := at.Add(r.grace.draining); !at.IsZero() && (r.drainingUntil.IsZero() || until.Before(r.drainingUntil)) {
+		r.drainingUntil = until
 	}
 	return r
 }
@@ -81,20 +97,21 @@
 // replica must get no requests.
 func (r registration) health(now time.Time) (ramp.Health, bool) {
 	switch {
-	case !r.drainingSince.IsZero():
-		return ramp.HealthDraining, now.Sub(r.drainingSince) < r.grace.draining
-	case !r.removedAt.IsZero():
-		return ramp.HealthDeregistered, now.Sub(r.removedAt) < r.grace.deregistered
+	case !r.drainingUntil.IsZero():
+		return ramp.HealthDraining, now.Before(r.drainingUntil)
+	case !r.removedUntil.IsZero():
+		return ramp.HealthDeregistered, now.Before(r.removedUntil)
 	}
 	return ramp.HealthOK, true
 }
 
 // expired reports whether the registration can be evicted.
 func (r registration) expired(now time.Time) bool {
-	return !r.removedAt.IsZero() && now.Sub(r.removedAt) >= r.grace.deregistered
+	return !r.removedUntil.IsZero() && !now.Before(r.removedUntil)
 }
 
-// Instances keeps the replicas of each service as registered in the store.
+// Instances keeps the replicas of each service as registered in the store. It implements
+// [ramp.InstanceTracker].
 type Instances struct {
 	clock       ramp.Clock
 	grace       gracePeriods
@@ -113,9 +130,9 @@
 	}
 }
 
-// Update stores an entry and reports whether the replica is new or registered again, or
-// its state or start changed. An entry older than the stored one has no effect.
-func (s *Instances) Update(i ramp.Instance) bool {
+// Update implements [ramp.InstanceTracker]. An entry older than the stored one has no
+// effect.
+func (s *Instances) Update(i ramp.Instance, notBefore time.Time) bool {
 	now := s.clock.Now()
 	if earlier, known := s.serviceByID.Get(i.ID); known && earlier != i.Service {
 		s.services.Update(earlier, func(old []registration) []registration { return withoutID(old, i.ID) })
@@ -125,23 +142,22 @@
 		at, found := findByID(old, i.ID)
 		if !found {
 			changed = true
-			return slices.Insert(slices.Clone(old), at, registration{grace: s.grace}.withInstance(i, now))
+			return slices.Insert(slices.Clone(old), at, registration{grace: s.grace}.withInstance(i, notBefore, now))
 		}
 		if !i.Newer(old[at].Instance) {
 			return old
 		}
-		changed = old[at].State != i.State || !old[at].SameStart(i) || !old[at].removedAt.IsZero()
+		changed = old[at].State != i.State || !old[at].SameStart(i) || !old[at].removedUntil.IsZero()
 		next := slices.Clone(old)
-		next[at] = old[at].withInstance(i, now)
+		next[at] = old[at].withInstance(i, notBefore, now)
 		return next
 	})
 	s.serviceByID.Put(i.ID, i.Service)
 	return changed
 }
 
-// MarkRemoved records that the entry of a replica was deleted. It reports whether the
-// replica was known.
-func (s *Instances) MarkRemoved(id string) bool {
+// MarkRemoved implements [ramp.InstanceTracker].
+func (s *Instances) MarkRemoved(id string, notBefore time.Time) bool {
 	now := s.clock.Now()
 	service, known := s.serviceByID.Get(id)
 	if !known {
@@ -153,7 +169,7 @@
 			return old
 		}
 		next := slices.Clone(old)
-		next[at] = old[at].withRemoval(now)
+		next[at] = old[at].withRemoval(notBefore, now)
 		return next
 	})
 	return true
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -31,11 +31,11 @@
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			for _, remove := range []func(*Instances){
-				func(s *Instances) { s.MarkRemoved("r") },
-				func(s *Instances) { s.Update(instance("r", 1, 2, ramp.Leaving)) },
+				func(s *Instances) { s.MarkRemoved("r", time.Now()) },
+				func(s *Instances) { s.Update(instance("r", 1, 2, ramp.Leaving), time.Now()) },
 			} {
 				s := NewInstances(bound, ramp.SystemClock{})
-				s.Update(instance("r", 1, 1, ramp.Live))
+				s.Update(instance("r", 1, 1, ramp.Live), time.Now())
 				remove(s)
 				time.Sleep(bound * 7 / 10) // the rest is for the propagation of the change
 				_, usable := s.ofService("s")[0].health(time.Now())
@@ -57,10 +57,10 @@
 	}
 	update := func(after time.Duration, i ramp.Instance) step {
 		label := fmt.Sprintf("entry started=%d sequence=%d %s", i.StartedMillis, i.Sequence, i.State)
-		return step{after, func(s *Instances) { s.Update(i) }, label}
+		return step{after, func(s *Instances) { s.Update(i, time.Now()) }, label}
 	}
 	remove := func(after time.Duration) step {
-		return step{after, func(s *Instances) { s.MarkRemoved("r") }, "removed"}
+		return step{after, func(s *Instances) { s.MarkRemoved("r", time.Now()) }, "removed"}
 	}
 	expire := func(after time.Duration) step { return step{after, func(s *Instances) { s.Expire() }, "later"} }
 	tests := []struct {
@@ -202,7 +202,7 @@
 				})
 				p.Done(endedAttempt("near", ramp.Unreachable, time.Millisecond))
 			}
-			s.Update(instance("near", 2, 1, ramp.Live))
+			s.Update(instance("near", 2, 1, ramp.Live), time.Now())
 		}},
 		{"address belongs to another replica", func(p *Picker, _ *Instances) { displace(p, "near") }},
 		{"addresses of all replicas belong to others", func(p *Picker, _ *Instances) {
@@ -213,17 +213,17 @@
 			displace(p, "near")
 			displace(p, "far")
 			time.Sleep(time.Second)
-			s.Update(instance("near", 1, 2, ramp.Live))
+			s.Update(instance("near", 1, 2, ramp.Live), time.Now())
 		}},
 		{"entry deleted after another replica answered", func(p *Picker, s *Instances) {
 			displace(p, "near")
 			displace(p, "far")
-			s.MarkRemoved("near")
+			s.MarkRemoved("near", time.Now())
 		}},
 		{"restart after another replica answered", func(p *Picker, s *Instances) {
 			displace(p, "near")
 			displace(p, "far")
-			s.Update(instance("near", 2, 1, ramp.Live))
+			s.Update(instance("near", 2, 1, ramp.Live), time.Now())
 		}},
 		{"long after another replica answered", func(p *Picker, _ *Instances) {
 			displace(p, "near")
@@ -232,12 +232,12 @@
 		}},
 		{"replica says that it leaves", func(p *Picker, _ *Instances) { say(p, "near", ramp.Signals{Leaving: true}) }},
 		{"the only replica says that it leaves", func(p *Picker, s *Instances) {
-			s.MarkRemoved("far")
+			s.MarkRemoved("far", time.Now())
 			time.Sleep(deregisteredGrace)
 			say(p, "near", ramp.Signals{Leaving: true})
 		}},
 		{"the only replica said that it leaves, and no longer does", func(p *Picker, s *Instances) {
-			s.MarkRemoved("far")
+			s.MarkRemoved("far", time.Now())
 			time.Sleep(deregisteredGrace)
 			say(p, "near", ramp.Signals{Leaving: true})
 			time.Sleep(drainBound / 2)
@@ -246,11 +246,11 @@
 		{"replica restarts after it said that it leaves", func(p *Picker, s *Instances) {
 			say(p, "near", ramp.Signals{Leaving: true})
 			time.Sleep(drainBound)
-			s.Update(instance("near", 2, 1, ramp.Live))
+			s.Update(instance("near", 2, 1, ramp.Live), time.Now())
 		}},
 		{"its entry is older than what the replica says", func(p *Picker, s *Instances) {
-			s.Update(instance("near", 1, 2, ramp.Leaving))
-			s.MarkRemoved("far")
+			s.Update(instance("near", 1, 2, ramp.Leaving), time.Now())
+			s.MarkRemoved("far", time.Now())
 			time.Sleep(drainBound / 2)
 			say(p, "near", ramp.Signals{Leaving: true})
 		}},
@@ -275,7 +275,7 @@
 		{"replica that refuses restarts", func(p *Picker, s *Instances) {
 			say(p, "near", ramp.Signals{RetryAfter: time.Minute})
 			say(p, "far", ramp.Signals{RetryAfter: time.Minute})
-			s.Update(instance("near", 2, 1, ramp.Live))
+			s.Update(instance("near", 2, 1, ramp.Live), time.Now())
 		}},
 		{"preferred replica saturated", func(p *Picker, _ *Instances) {
 			for range room {
@@ -294,17 +294,17 @@
 				})
 			}
 		}},
-		{"entry deleted", func(_ *Picker, s *Instances) { s.MarkRemoved("near") }},
+		{"entry deleted", func(_ *Picker, s *Instances) { s.MarkRemoved("near", time.Now()) }},
 		{"draining replica is the only one", func(_ *Picker, s *Instances) {
-			s.Update(instance("near", 1, 2, ramp.Leaving))
-			s.MarkRemoved("far")
+			s.Update(instance("near", 1, 2, ramp.Leaving), time.Now())
+			s.MarkRemoved("far", time.Now())
 			time.Sleep(deregisteredGrace)
-			s.Update(instance("near", 2, 2, ramp.Live))
-			s.Update(instance("near", 2, 3, ramp.Leaving))
+			s.Update(instance("near", 2, 2, ramp.Live), time.Now())
+			s.Update(instance("near", 2, 3, ramp.Leaving), time.Now())
 		}},
 		{"only replica past its grace period for draining", func(_ *Picker, s *Instances) {
-			s.Update(instance("near", 1, 2, ramp.Leaving))
-			s.MarkRemoved("far")
+			s.Update(instance("near", 1, 2, ramp.Leaving), time.Now())
+			s.MarkRemoved("far", time.Now())
 			time.Sleep(deregisteredGrace)
 		}},
 	}
@@ -314,8 +314,8 @@
 			s := NewInstances(drainBound, ramp.SystemClock{})
 			far := instance("far", 1, 1, ramp.Live)
 			far.Domain = "other"
-			s.Update(instance("near", 1, 1, ramp.Live))
-			s.Update(far)
+			s.Update(instance("near", 1, 1, ramp.Live), time.Now())
+			s.Update(far, time.Now())
 			p := newTestPicker(s)
 			test.prepare(p, s)
 			i, info, ok := p.Pick(ramp.PickRequest{Service: "s", Limit: room})
