query, backend: check that a replica is still usable when the connection is open

Cause: the replica is checked when it is picked, and its connection may take 300 ms to open. Nothing was checked after that. Change: a call is checked again right before its first byte. One whose replica must get nothing any more, or whose context has ended, stays unsent, and the part is tried elsewhere or refused as not run. Why it works: first attempts, retries, hedges and parts collected for other daemons all pass through this one place before their first byte.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -73,7 +73,12 @@
 		e.pool.discard(conn)
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Unreachable, Cause: net.ErrClosed}
 	}
-	if _, err := conn.netConn.Write(e.encodeRequest(c, left)); err != nil {
+	request := e.encodeRequest(c, left)
+	if err := beforeSend(ctx, c); err != nil {
+		e.pool.discard(conn)
+		return ramp.Response{}, err
+	}
+	if _, err := conn.netConn.Write(request); err != nil {
 		e.pool.discard(conn)
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Unreachable, Sent: true, Cause: err}
 	}
@@ -95,6 +100,15 @@
 	return response, err
 }
 
+// beforeSend returns an error for a call that must not be sent any more, although it has a
+// connection.
+func beforeSend(ctx context.Context, c ramp.Call) error {
+	if ctx.Err() != nil {
+		return &ramp.AttemptError{Outcome: ramp.Cancelled, Cause: ctx.Err()}
+	}
+	return c.BeforeSend()
+}
+
 // awaitReply waits for the reply, until left has passed or the cancel grace has passed
 // after the end of ctx.
 func (e *Exchanger) awaitReply(ctx context.Context, replies <-chan reply, left time.Duration) (reply, error) {
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -81,6 +81,7 @@
 		Message:  ramp.Message{ID: id, Method: http.MethodGet, Host: "h", Target: "/x?y=%2F"},
 		Instance: ramp.Instance{Replica: ramp.Replica{ID: "i", Address: s.Addr().String()}},
 		Deadline: time.Now().Add(300 * time.Millisecond), Idempotent: idempotent, MaxConnections: 2,
+		BeforeSend: func() error { return nil },
 	}
 }
 
@@ -246,3 +247,48 @@
 	is.Equal(failed.Outcome, ramp.Cancelled)
 	<-closed
 }
+
+// TestWithdrawnCallIsNotSent guards against sending a call that was withdrawn while its
+// connection was opened.
+func TestWithdrawnCallIsNotSent(t *testing.T) {
+	errLeft := &ramp.AttemptError{Outcome: ramp.NotStarted}
+	for _, test := range []struct {
+		name       string
+		beforeSend error
+		cancelled  bool // the context ends when the connection is open
+		outcome    ramp.Outcome
+	}{
+		{"sent", nil, false, ""},
+		{"withdrawn", errLeft, false, ramp.NotStarted},
+		{"cancelled", nil, true, ramp.Cancelled},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newRawServer(t, func(_ int64, r *http.Request, c net.Conn) bool {
+				_, err := c.Write([]byte(ok(r.Header.Get("Id"), "body")))
+				return err == nil
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+			e.pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := new(net.Dialer).DialContext(ctx, network, address)
+				if test.cancelled {
+					cancel()
+				}
+				return c, err
+			}
+			call := s.call("id", false)
+			call.BeforeSend = func() error { return test.beforeSend }
+			_, err := e.Exchange(ctx, call)
+			cancel()
+			var failed *ramp.AttemptError
+			is.Equal(errors.As(err, &failed), test.outcome != "")
+			if failed != nil {
+				is.Equal(failed.Outcome, test.outcome)
+				is.Equal(failed.Sent, false)
+			}
+			time.Sleep(20 * time.Millisecond) // a request that was sent is read within it
+			is.Equal(s.served.Load() == 0, test.outcome != "")
+		})
+	}
+}
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -71,7 +71,7 @@
 	Leaving    <-chan struct{}      // closed when the daemon starts to leave
 
 	confirmedAt   atomic.Int64                     // time from started to the last store confirmation, in ns; 0 for none
-	outageEndedAt atomic.Int64                     // time from started to the end of the last store outage, in ns; 0 for none
+	outageEndedAt atomic.Int64                     // like confirmedAt, of the end of the last outage of the store
 	gossipTurn    atomic.Uint64                    // gossip periods so far; selects the next target
 	storeTried    chan struct{}                    // closed when the first call to the store has succeeded or failed
 	applyMutex    *ramp.Mutex                      // held while a change is applied
--- a/message.go
+++ b/message.go
@@ -28,6 +28,10 @@
 	Deadline       time.Time // time at which the replica stops working on it
 	Idempotent     bool      // the message may run more than once
 	MaxConnections int       // connections that may be open to the replica at once; at least 1
+
+	// BeforeSend is called when a connection is open, right before the first byte is sent.
+	// When it returns an error, an [*AttemptError], nothing is sent.
+	BeforeSend func() error
 }
 
 // Response is what a replica sent for a call.
--- a/query/execution.go
+++ b/query/execution.go
@@ -332,11 +332,24 @@
 	}
 	response, err := e.relay.Exchanger.Exchange(state.context, ramp.Call{
 		Message: e.message, Instance: i, Deadline: e.deadline, Idempotent: e.route.Idempotent,
-		MaxConnections: e.connectionShare(state.service),
+		MaxConnections: e.connectionShare(state.service), BeforeSend: func() error { return e.beforeSend(i) },
 	})
 	e.finish(index, a, response, err)
 }
 
+// errReplicaLeft is the cause of an attempt whose replica was about to leave when it had
+// a connection.
+var errReplicaLeft = errors.New("the replica must get no requests any more")
+
+// beforeSend returns an error for an attempt that has a connection but must not be sent
+// any more.
+func (e *execution) beforeSend(i ramp.Instance) error {
+	if !e.relay.Picker.Usable(i) {
+		return &ramp.AttemptError{Outcome: ramp.NotStarted, Cause: errReplicaLeft}
+	}
+	return nil
+}
+
 // connectionShare returns this daemon's share of the connections to each
 // replica of the service. It is at least 1. In a grouped fleet the replicas of a
 // gathered route are used by the daemons that collect its parts, and by others only
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -27,12 +27,13 @@
 // behaviour is how a replica of a script behaves.
 type behaviour struct {
 	delay         time.Duration
-	status        int          // of the response; 0 for none
-	outcome       ramp.Outcome // of an attempt without a response; "" for a response
-	notRun        bool         // the replica states that the request did not run
-	notSent       bool         // no byte of the request was sent
-	body          string       // records of the part
-	ignoresCancel bool         // does not end when the attempt is cancelled
+	status        int           // of the response; 0 for none
+	outcome       ramp.Outcome  // of an attempt without a response; "" for a response
+	notRun        bool          // the replica states that the request did not run
+	notSent       bool          // no byte of the request was sent
+	connect       time.Duration // until the connection is open
+	body          string        // records of the part
+	ignoresCancel bool          // does not end when the attempt is cancelled
 }
 
 // script is the behaviour of a set of replicas. It implements [ramp.Exchanger].
@@ -41,6 +42,16 @@
 // Exchange implements [ramp.Exchanger].
 func (s script) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
 	a := s[c.Instance.ID]
+	select {
+	case <-time.After(a.connect):
+	case <-ctx.Done():
+		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Cancelled}
+	}
+	if !a.notSent {
+		if err := c.BeforeSend(); err != nil {
+			return ramp.Response{}, err
+		}
+	}
 	wait := ctx
 	if a.ignoresCancel {
 		wait = context.Background()
--- a/relay.go
+++ b/relay.go
@@ -11,6 +11,9 @@
 	// Pick returns the replica for an attempt and how it was picked. The attempt counts
 	// as in flight until Done is called for it.
 	Pick(r PickRequest) (Instance, PickInfo, bool)
+	// Usable reports whether a replica that was picked may still get the attempt, which
+	// waits for a connection meanwhile.
+	Usable(i Instance) bool
 	// Done records the outcome of an attempt.
 	Done(a Attempt)
 	// Delay returns the time until a replica of the service accepts a request of this
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -200,6 +200,17 @@
 	return best.Instance, info, true
 }
 
+// Usable implements [ramp.Picker].
+func (p *Picker) Usable(i ramp.Instance) bool {
+	all := p.instances.ofService(i.Service)
+	at, found := findByID(all, i.ID)
+	if !found || !all[at].SameStart(i) {
+		return false
+	}
+	_, ok := p.health(all[at], p.statsOf(all[at]), p.clock.Now())
+	return ok
+}
+
 // health returns the replica's health by its registration, its circuit breaker and the
 // owner of its address. It reports false when the replica must get no requests.
 func (p *Picker) health(r registration, s replicaStats, now time.Time) (ramp.Health, bool) {
