query: send no order whose caller has left before its first byte

The customer had no answer, may order again, and the first order was placed all the same. Cause: a message that is not idempotent was cut off from its caller at its start instead of at its first byte. Whatever was unsent by then - a connection that hangs, a wait for a worker or for a connection, a retry after a refusal - went on and was sent. Change: such a message can be withdrawn as long as no replica may work on it. The step from unsent to sent and the withdrawal exclude each other, right before the first byte; after a refusal, a 421 or a connection that failed before a byte the message can be withdrawn again. An attempt whose message has ended no longer asks for a replica, which also covers parts whose asker has given up. Why it works: every attempt passes the check before its first byte, whichever way it waited until then.

--- a/query/execution.go
+++ b/query/execution.go
@@ -72,6 +72,8 @@
 	orderOnce sync.Once // sets order
 	order     []string  // see [execution.domainOrder]
 
+	withdrawal *withdrawal // of a message that is not idempotent; nil for others
+
 	batchMutex    *ramp.Mutex // held while a batch is merged, and while the parts are closed
 	batchesClosed bool        // no batch is merged any more; guarded by batchMutex
 
@@ -93,6 +95,7 @@
 		e.quorum = route.Quorum()
 	}
 	if !route.Idempotent {
+		e.withdrawal = newWithdrawal(ctx)
 		ctx = context.WithoutCancel(ctx)
 	}
 	e.grouped = route.Gathered() && r.grouped()
@@ -107,7 +110,8 @@
 
 // run starts the first attempts and waits for the result: until every part is
 // received or given up, the quorum suffices and is reached, the deadline passes,
-// the daemon has to stop, or the caller of an idempotent message has gone.
+// the daemon has to stop, or the caller has gone. A message that is not idempotent
+// outlives its caller once a replica may work on it.
 func (e *execution) run(ctx context.Context, r ramp.RelayResult) (ramp.RelayResult, error) {
 	clock := e.relay.Clock
 	expired := make(chan struct{})
@@ -132,8 +136,9 @@
 	}
 	e.dispatch(all, ramp.First)
 	callerGone := ctx.Done()
-	if !e.route.Idempotent {
-		callerGone = nil
+	if e.withdrawal != nil {
+		callerGone = e.withdrawal.done
+		defer context.AfterFunc(ctx, e.withdrawal.request)()
 	}
 	callerLeft := false
 	select {
@@ -261,7 +266,7 @@
 // hedge also needs a replica with HealthOK.
 func (e *execution) runAttempt(index int, kind ramp.AttemptKind) {
 	state, _ := e.parts.Get(index)
-	if state.closed || kind == ramp.Hedge && !state.overdue(e.hedgeDelay, e.elapsed()) {
+	if state.closed || e.context.Err() != nil || kind == ramp.Hedge && !state.overdue(e.hedgeDelay, e.elapsed()) {
 		return
 	}
 	if state.sentCount() >= e.route.MaxAttempts {
@@ -347,6 +352,9 @@
 	if !e.relay.Picker.Usable(i) {
 		return &ramp.AttemptError{Outcome: ramp.NotStarted, Cause: errReplicaLeft}
 	}
+	if e.withdrawal != nil && !e.withdrawal.beginSend() {
+		return &ramp.AttemptError{Outcome: ramp.Cancelled, Cause: context.Canceled}
+	}
 	return nil
 }
 
@@ -389,7 +397,9 @@
 		e.partDone()
 	case state.closed || state.pendingCount() > 0:
 	case e.route.Idempotent || !a.Sent || a.NotRun:
-		e.submit(index, ramp.Retry)
+		if e.withdrawal == nil || e.withdrawal.endUnrun() {
+			e.submit(index, ramp.Retry)
+		}
 	default:
 		e.giveUp(index)
 	}
@@ -459,12 +469,13 @@
 func (e *execution) result(r ramp.RelayResult, callerLeft bool) (ramp.RelayResult, error) {
 	states := e.close()
 	elapsed := e.elapsed()
+	withdrawn := e.withdrawal != nil && callerLeft // no attempt is at a replica
 	mayHaveRun := false
 	for _, s := range states {
-		mayHaveRun = mayHaveRun || s.mayHaveRun()
+		mayHaveRun = mayHaveRun || s.mayHaveRun() && !withdrawn
 		for _, a := range s.attempts {
 			if a.Outcome == ramp.Pending {
-				a = a.WithOutcome(ramp.Cancelled, elapsed-a.Started, true)
+				a = a.WithOutcome(ramp.Cancelled, elapsed-a.Started, !withdrawn)
 			}
 			r.Attempts = append(r.Attempts, a)
 		}
--- a/query/relay.go
+++ b/query/relay.go
@@ -91,7 +91,7 @@
 // Handle answers a message whose caller waits for up to limit, or 0 if it
 // states none. When there is no answer it returns a [*ramp.RefusedError]
 // together with a result that lists the attempts. A message that is not
-// idempotent continues to run when ctx ends.
+// idempotent continues to run when ctx ends, once a replica may work on it.
 func (r *Relay) Handle(ctx context.Context, m ramp.Message, limit time.Duration) (ramp.RelayResult, error) {
 	started := r.Clock.Now()
 	result, err := r.execute(ctx, m, limit, started)
