backend, platform, query: one bound on the memory of all bodies

Cause: only bodies that were being read counted towards a bound. They left it once read, while they were still held for merging, for another daemon or for a slow caller; a growing buffer held up to three times what was counted; callers' bodies and copies of them in requests were in no sum; the kernel buffered up to some megabytes for each connection; and the garbage collector knew no limit. Change: ramp.Memory counts the buffers of all bodies, replies and requests, with both buffers while one grows, from when they are read until the answer has been sent. A request that does not fit is refused as not run, a reply that does not fit is a failed attempt. A large body is not copied to be sent. The kernel's receive buffer of a connection to a replica is 256 KiB, and the heap is collected more often from half of memoryMb on. The client of the own interface has such a bound for its replies too. TestEndlessRepliesShareMemory now allows no byte over the bound; it allowed 32 KiB for each call. Why it works: no body is read without its buffer being claimed first, and a claim ends only when nobody holds the buffer.

Also takes back the bound on configuration of in daemon/edge.go: LoadSettings has taken the lesser of the two bounds all along.

--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -15,6 +15,9 @@
 	ramp "sycamoreramp.example/sycamoreramp"
 )
 
+// testMemory is the memory for bodies in these tests, in bytes.
+const testMemory = 64 << 20
+
 // endless is a reply that begins with a text and repeats another one for ever.
 type endless struct{ name, begin, repeat string }
 
@@ -65,7 +68,7 @@
 	for _, reply := range endlessReplies {
 		t.Run(reply.name, func(t *testing.T) {
 			source := newRepeatReader(reply)
-			r := readReply(newReplyReader(source, &byteBudget{limit: maxPendingBodies}), http.MethodGet)
+			r := readReply(newReplyReader(source, ramp.NewMemory(testMemory)), http.MethodGet, nil)
 			if r.err == nil || errors.Is(r.err, errReadOn) {
 				t.Errorf("after %d bytes: %v", source.position, r.err)
 			}
@@ -84,7 +87,7 @@
 		_, _ = io.Copy(c, newRepeatReader(endless{begin: "HTTP/1.1 200 OK\r\n\r\n", repeat: "0123456789abcdef"}))
 		return false
 	})
-	e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+	e := NewExchanger(echoCodec{}, ramp.NewMemory(testMemory), ramp.SystemClock{})
 	const calls = 64
 	results := make(chan error, calls)
 	for i := range calls {
@@ -107,13 +110,12 @@
 	for ended := 0; ended < calls; {
 		select {
 		case err := <-results:
-			var size *ReplySizeError
-			is.True(errors.As(err, &size))
+			is.True(isTooLong(err))
 			ended++
 		case <-ticks.C:
-			most = max(most, e.pool.bodies.inUse.Load())
+			most = max(most, e.pool.memory.InUse())
 		}
 	}
-	is.True(most <= maxPendingBodies+calls*bodyChunk) // a claim that fails counts for a moment
-	is.Equal(e.pool.bodies.inUse.Load(), int64(0))
+	is.True(most <= testMemory)
+	is.Equal(e.pool.memory.InUse(), int64(0))
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -18,6 +18,8 @@
 const (
 	connectTimeout  = 300 * time.Millisecond // for opening a connection; covers several round trips between regions
 	readBuffer      = 4 << 10                // size of a connection's read buffer in bytes
+	receiveBuffer   = 256 << 10              // of the kernel for a connection in bytes; it counts as the daemon's memory
+	maxCopiedBody   = 64 << 10               // size of a body that is sent together with its head in bytes
 	callCancelGrace = 10 * time.Millisecond  // time for which a cancelled call may still get its reply
 )
 
@@ -32,10 +34,11 @@
 	pool  *connPool
 }
 
-// NewExchanger returns an exchanger without open connections.
-func NewExchanger(codec ramp.CallCodec, clock ramp.Clock) *Exchanger {
+// NewExchanger returns an exchanger without open connections. The bodies of replies are
+// held in memory.
+func NewExchanger(codec ramp.CallCodec, memory *ramp.Memory, clock ramp.Clock) *Exchanger {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Exchanger{clock: clock, codec: codec, pool: newConnPool(clock, dialer.DialContext)}
+	return &Exchanger{clock: clock, codec: codec, pool: newConnPool(clock, dialer.DialContext, memory)}
 }
 
 // Exchange implements [ramp.Exchanger]. A message that is not idempotent gets a new
@@ -68,17 +71,21 @@
 func (e *Exchanger) roundTrip(
 	ctx context.Context, c ramp.Call, conn *persistentConn, left time.Duration,
 ) (ramp.Response, error) {
-	replies := conn.expectReply(c.Message.Method)
+	replies := conn.expectReply(c.Message.Method, c.Message.Held)
 	if replies == nil { // closed while idle
 		e.pool.discard(conn)
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Unreachable, Cause: net.ErrClosed}
 	}
-	request := e.encodeRequest(c, left)
+	head, body := e.encodeRequest(c, left)
 	if err := beforeSend(ctx, c); err != nil {
 		e.pool.discard(conn)
 		return ramp.Response{}, err
 	}
-	if _, err := conn.netConn.Write(request); err != nil {
+	_, err := conn.netConn.Write(head)
+	if err == nil && len(body) > 0 {
+		_, err = conn.netConn.Write(body)
+	}
+	if err != nil {
 		e.pool.discard(conn)
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Unreachable, Sent: true, Cause: err}
 	}
@@ -133,10 +140,11 @@
 	}
 }
 
-// encodeRequest returns the encoded request with its body.
-func (e *Exchanger) encodeRequest(c ramp.Call, left time.Duration) []byte {
+// encodeRequest returns the encoded request: the head and the body, or both in the head
+// for a small body.
+func (e *Exchanger) encodeRequest(c ramp.Call, left time.Duration) (head, body []byte) {
 	var b bytes.Buffer
-	b.Grow(512 + len(c.Message.Body))
+	b.Grow(512 + min(len(c.Message.Body), maxCopiedBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Message.Method, c.Message.Target, c.Message.Host)
 	for _, f := range c.Message.Fields {
 		writeField(&b, f)
@@ -148,8 +156,11 @@
 		writeField(&b, ramp.Field{Name: "Content-Length", Value: strconv.Itoa(len(c.Message.Body))})
 	}
 	b.WriteString("\r\n")
+	if len(c.Message.Body) > maxCopiedBody {
+		return b.Bytes(), c.Message.Body
+	}
 	b.Write(c.Message.Body)
-	return b.Bytes()
+	return b.Bytes(), nil
 }
 
 func writeField(b *bytes.Buffer, f ramp.Field) {
@@ -181,15 +192,23 @@
 	return ramp.Unreachable
 }
 
+// isTooLong reports whether a reply was given up for its length, alone or together with
+// the others.
+func isTooLong(err error) bool {
+	var part *ReplySizeError
+	var body *ramp.SizeError
+	var memory *ramp.MemoryError
+	return errors.As(err, &part) || errors.As(err, &body) || errors.As(err, &memory)
+}
+
 // replyOutcome maps an error of reading a reply to an outcome.
 func replyOutcome(ctx context.Context, err error) ramp.Outcome {
-	var size *ReplySizeError
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return ramp.Expired
 	case ctx.Err() != nil:
 		return ramp.Cancelled
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &size):
+	case errors.Is(err, io.ErrUnexpectedEOF), isTooLong(err):
 		return ramp.Truncated
 	}
 	return ramp.Unreachable
--- a/backend/exchange_test.go
+++ b/backend/exchange_test.go
@@ -160,7 +160,7 @@
 			}
 			return write(c, ok(r.Header.Get("Id"), "second"))
 		})
-		e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+		e := NewExchanger(echoCodec{}, ramp.NewMemory(testMemory), ramp.SystemClock{})
 		fmt.Fprintf(&b, "%s:", test.name)
 		for _, id := range []string{"one", "two"} {
 			r, err := e.Exchange(t.Context(), s.call(id, !test.once))
@@ -189,7 +189,7 @@
 		_, err := c.Write([]byte(late + ok(r.Header.Get("Id"), "own")))
 		return err == nil
 	})
-	e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+	e := NewExchanger(echoCodec{}, ramp.NewMemory(testMemory), ramp.SystemClock{})
 	_, err := e.Exchange(t.Context(), s.call("one", true))
 	is.NoErr(err)
 	_, err = e.Exchange(t.Context(), s.call("two", true))
@@ -206,7 +206,7 @@
 func TestConnectionLimit(t *testing.T) {
 	is := is.New(t)
 	s := newRawServer(t, func(int64, *http.Request, net.Conn) bool { return true })
-	e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+	e := NewExchanger(echoCodec{}, ramp.NewMemory(testMemory), ramp.SystemClock{})
 	results := make(chan error, 4)
 	for range 4 {
 		go func() {
@@ -238,7 +238,7 @@
 		close(closed)
 		return false
 	})
-	e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+	e := NewExchanger(echoCodec{}, ramp.NewMemory(testMemory), ramp.SystemClock{})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(30*time.Millisecond, cancel)
 	_, err := e.Exchange(ctx, s.call("id", true))
@@ -269,7 +269,7 @@
 				return err == nil
 			})
 			ctx, cancel := context.WithCancel(t.Context())
-			e := NewExchanger(echoCodec{}, ramp.SystemClock{})
+			e := NewExchanger(echoCodec{}, ramp.NewMemory(testMemory), ramp.SystemClock{})
 			e.pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := new(net.Dialer).DialContext(ctx, network, address)
 				if test.cancelled {
--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net/http"
 	"testing"
+
+	ramp "sycamoreramp.example/sycamoreramp"
 )
 
 // FuzzReply reads arbitrary bytes as a reply. A connection that has more bytes to read
@@ -15,8 +17,8 @@
 	f.Add([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\nKeep-Alive: timeout=-1\r\n\r\nbody"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		reader := newReplyReader(bytes.NewReader(data), &byteBudget{limit: maxPendingBodies})
-		r := readReply(reader, http.MethodGet)
+		reader := newReplyReader(bytes.NewReader(data), ramp.NewMemory(testMemory))
+		r := readReply(reader, http.MethodGet, nil)
 		if r.err == nil && r.reusable && reader.Buffered() > 0 {
 			t.Error("connection with unread bytes is reusable")
 		}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -25,32 +25,33 @@
 	address   string
 	idleUntil time.Time // expiry while idle; guarded by the pool's mutex
 
-	mutex   sync.Mutex // guards the fields below; held briefly and never together with another lock
-	method  string     // of the request that awaits a response
-	replies chan reply // receives the response; nil if none is awaited
+	mutex   sync.Mutex    // guards the fields below; held briefly and never together with another lock
+	method  string        // of the request that awaits a response
+	held    *ramp.Holding // to which the memory of the response is added
+	replies chan reply    // receives the response; nil if none is awaited
 	closed  bool
 }
 
 // expectReply registers a request that is about to be sent. It returns the channel that
 // gets its reply, or nil if the connection is closed.
-func (c *persistentConn) expectReply(method string) <-chan reply {
+func (c *persistentConn) expectReply(method string, held *ramp.Holding) <-chan reply {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed {
 		return nil
 	}
-	c.method, c.replies = method, make(chan reply, 1)
+	c.method, c.held, c.replies = method, held, make(chan reply, 1)
 	return c.replies
 }
 
 // takeExpected returns the request that awaits a response and clears it. The channel is
 // nil if there is none.
-func (c *persistentConn) takeExpected() (method string, replies chan reply) {
+func (c *persistentConn) takeExpected() (method string, held *ramp.Holding, replies chan reply) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	method, replies = c.method, c.replies
-	c.replies = nil
-	return method, replies
+	method, held, replies = c.method, c.held, c.replies
+	c.held, c.replies = nil, nil
+	return method, held, replies
 }
 
 func (c *persistentConn) isClosed() bool {
@@ -73,7 +74,7 @@
 	defer onEnd(c)
 	for {
 		_, err := c.reader.Peek(1)
-		method, replies := c.takeExpected()
+		method, held, replies := c.takeExpected()
 		if replies == nil {
 			return
 		}
@@ -81,7 +82,7 @@
 			replies <- reply{err: err}
 			return
 		}
-		r := readReply(c.reader, method)
+		r := readReply(c.reader, method, held)
 		replies <- r
 		if r.err != nil || !r.reusable {
 			return
@@ -99,14 +100,14 @@
 type connPool struct {
 	clock  ramp.Clock
 	dial   dialFunc
-	bodies *byteBudget // of the replies that are being read
+	memory *ramp.Memory // for the bodies of replies
 	mutex  *ramp.Mutex
 	peers  map[string]peerConns // by address; no empty values
 }
 
-func newConnPool(clock ramp.Clock, dial dialFunc) *connPool {
+func newConnPool(clock ramp.Clock, dial dialFunc, memory *ramp.Memory) *connPool {
 	return &connPool{
-		clock: clock, dial: dial, bodies: &byteBudget{limit: maxPendingBodies},
+		clock: clock, dial: dial, memory: memory,
 		mutex: ramp.NewMutex(ramp.RankReplicas), peers: make(map[string]peerConns),
 	}
 }
@@ -133,7 +134,10 @@
 		p.release(i.Address)
 		return nil, true, err
 	}
-	c := &persistentConn{netConn: connection, reader: newReplyReader(connection, p.bodies), address: i.Address}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(receiveBuffer) // without it the kernel buffers more
+	}
+	c := &persistentConn{netConn: connection, reader: newReplyReader(connection, p.memory), address: i.Address}
 	go c.readReplies(p.removeEnded)
 	return c, true, nil
 }
--- a/backend/reply.go
+++ b/backend/reply.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -17,15 +14,13 @@
 
 // Limits on the size of replies in bytes. A replica in trouble may send bytes without end.
 const (
-	maxHead          = 64 << 10 // of a head, together with those of the interim responses before it
-	maxResponse      = 16 << 20 // of a body, with its encoding in chunks
-	maxPendingBodies = 64 << 20 // of all bodies that are being read
-	bodyChunk        = 32 << 10 // that are added to the pending bodies at once
+	maxHead     = 64 << 10 // of a head, together with those of the interim responses before it
+	maxResponse = 16 << 20 // of a body, with its encoding in chunks
 )
 
 // ReplySizeError reports a reply that is longer than allowed.
 type ReplySizeError struct {
-	Part  string // head, body, or bodies for all bodies together
+	Part  string // head or body
 	Limit int64  // in bytes
 }
 
@@ -34,23 +29,6 @@
 	return fmt.Sprintf("reply exceeds the limit: part=%s limit=%d", e.Part, e.Limit)
 }
 
-// byteBudget bounds the bytes in use at the same time.
-type byteBudget struct {
-	limit int64
-	inUse atomic.Int64 // from 0 to limit, and more for a moment while a claim fails
-}
-
-// claim counts bytes as in use. It reports false, and counts none, beyond the limit.
-func (b *byteBudget) claim(bytes int64) bool {
-	if b.inUse.Add(bytes) <= b.limit {
-		return true
-	}
-	b.release(bytes)
-	return false
-}
-
-func (b *byteBudget) release(bytes int64) { b.inUse.Add(-bytes) }
-
 // boundedReader fails after a number of bytes.
 type boundedReader struct {
 	io.Reader
@@ -72,12 +50,12 @@
 type replyReader struct {
 	*bufio.Reader
 	source *boundedReader
-	bodies *byteBudget // shared by all connections
+	memory *ramp.Memory // for bodies; shared by all connections
 }
 
-func newReplyReader(source io.Reader, bodies *byteBudget) *replyReader {
+func newReplyReader(source io.Reader, memory *ramp.Memory) *replyReader {
 	bounded := &boundedReader{Reader: source}
-	r := &replyReader{Reader: bufio.NewReaderSize(bounded, readBuffer), source: bounded, bodies: bodies}
+	r := &replyReader{Reader: bufio.NewReaderSize(bounded, readBuffer), source: bounded, memory: memory}
 	r.allow(maxHead, "head")
 	return r
 }
@@ -88,24 +66,10 @@
 	r.source.exceeded = &ReplySizeError{Part: part, Limit: limit}
 }
 
-// readBody reads a body to its end.
-func (r *replyReader) readBody(body io.Reader) ([]byte, error) {
+// readBody reads the body of a response to its end. Its memory is added to held.
+func (r *replyReader) readBody(response *http.Response, held *ramp.Holding) ([]byte, error) {
 	r.allow(maxResponse, "body")
-	var data bytes.Buffer
-	claimed := int64(0)
-	defer func() { r.bodies.release(claimed) }()
-	for {
-		if !r.bodies.claim(bodyChunk) {
-			return nil, &ReplySizeError{Part: "bodies", Limit: r.bodies.limit}
-		}
-		claimed += bodyChunk
-		switch _, err := io.CopyN(&data, body, bodyChunk); {
-		case errors.Is(err, io.EOF):
-			return data.Bytes(), nil
-		case err != nil:
-			return nil, err
-		}
-	}
+	return r.memory.ReadAll(response.Body, response.ContentLength, maxResponse, held)
 }
 
 // reply is the result of reading the response to one request.
@@ -116,9 +80,10 @@
 	err       error
 }
 
-// readReply reads one whole final response. It skips interim responses. The connection
-// is not reusable after a response without a length, or if more bytes have arrived.
-func readReply(reader *replyReader, method string) reply {
+// readReply reads one whole final response, whose memory is added to held. It skips
+// interim responses. The connection is not reusable after a response without a length, or
+// if more bytes have arrived.
+func readReply(reader *replyReader, method string, held *ramp.Holding) reply {
 	request := &http.Request{Method: method}
 	reader.allow(maxHead, "head")
 	defer reader.allow(maxHead, "head")
@@ -134,7 +99,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := reader.readBody(response.Body)
+		body, err := reader.readBody(response, held)
 		_ = response.Body.Close() // does not close the connection
 		if err != nil {
 			return reply{err: err}
--- a/backend/transport.go
+++ b/backend/transport.go
@@ -20,7 +20,8 @@
 
 // Limits on requests to a backend server.
 const (
-	maxReply           = 8 << 20 // size of a reply in bytes
+	maxReply           = 8 << 20  // size of a reply in bytes
+	maxReplies         = 64 << 20 // of all replies that are being read or decoded
 	dialTimeout        = 500 * time.Millisecond
 	idleTimeout        = 90 * time.Second
 	attemptCancelGrace = 10 * time.Millisecond // time for which a cancelled request may still get its reply
@@ -37,6 +38,7 @@
 	client  *http.Client
 	clock   ramp.Clock
 	limiter *connLimiter
+	memory  *ramp.Memory // for the bodies of replies
 }
 
 // NewClient returns a client that opens at most the given number of connections to each
@@ -48,7 +50,8 @@
 
 func newClient(clock ramp.Clock, connections int, dial dialFunc) *Client {
 	limiter := newConnLimiter(connections, dial)
-	return &Client{clock: clock, limiter: limiter, client: &http.Client{Transport: &http.Transport{
+	memory := ramp.NewMemory(maxReplies)
+	return &Client{clock: clock, limiter: limiter, memory: memory, client: &http.Client{Transport: &http.Transport{
 		DialContext:         limiter.Dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -133,7 +136,9 @@
 	graceCtx, cancel := c.withCancelGrace(ctx, remaining)
 	defer cancel()
 	t := &connTrace{}
-	data, status, err := c.post(graceCtx, a, body, excess, t)
+	held := c.memory.Hold()
+	defer held.Release()
+	data, status, err := c.post(graceCtx, a, body, excess, t, held)
 	if err != nil {
 		return ramp.Reply{}, t.attemptError(transportOutcome(graceCtx, err), err)
 	}
@@ -194,7 +199,7 @@
 // connection turns out to be closed before a byte was written, an idempotent request is
 // sent on another one, and any other request fails.
 func (c *Client) post(
-	ctx context.Context, a ramp.Attempt, body []byte, excess bool, t *connTrace,
+	ctx context.Context, a ramp.Attempt, body []byte, excess bool, t *connTrace, held *ramp.Holding,
 ) ([]byte, int, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 	url := "http://" + a.Replica.Address + "/run"
@@ -211,14 +216,8 @@
 		return nil, 0, err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
-	if err != nil {
-		return nil, 0, err
-	}
-	if len(data) > maxReply {
-		return nil, 0, fmt.Errorf("reply exceeds %d bytes", maxReply)
-	}
-	return data, response.StatusCode, nil
+	data, err := c.memory.ReadAll(response.Body, response.ContentLength, maxReply, held)
+	return data, response.StatusCode, err
 }
 
 // FetchInventory implements [ramp.Backends]. It counts towards the connection limit like
@@ -242,8 +241,14 @@
 	if response.StatusCode != http.StatusOK {
 		return ramp.Inventory{}, fmt.Errorf("unexpected status %d", response.StatusCode)
 	}
+	held := c.memory.Hold()
+	defer held.Release()
+	data, err := c.memory.ReadAll(response.Body, response.ContentLength, maxReply, held)
+	if err != nil {
+		return ramp.Inventory{}, fmt.Errorf("read inventory: %w", err)
+	}
 	var wire inventoryWire
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&wire); err != nil {
+	if err := json.Unmarshal(data, &wire); err != nil {
 		return ramp.Inventory{}, fmt.Errorf("decode inventory: %w", err)
 	}
 	inventory := ramp.Inventory{
--- a/backend/truncated_test.go
+++ b/backend/truncated_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	ramp "sycamoreramp.example/sycamoreramp"
 )
 
 // TestTruncatedReplyIsNotComplete fails when a reply that ends early passes for a complete
@@ -27,13 +29,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			for n := range len(test.reply) - len(test.unmarked) {
-				r := readReply(newTestReader(test.reply[:n]), http.MethodGet)
+				r := readReply(newTestReader(test.reply[:n]), http.MethodGet, nil)
 				if r.err == nil {
 					t.Errorf("cut after %q: status %d with %d bytes of body", test.reply[max(0, n-12):n], r.response.Status,
 						len(r.response.Body))
 				}
 			}
-			r := readReply(newTestReader(test.reply), http.MethodGet)
+			r := readReply(newTestReader(test.reply), http.MethodGet, nil)
 			is.NoErr(r.err)
 			is.Equal(r.response.Status, http.StatusOK)
 		})
@@ -42,5 +44,5 @@
 
 // newTestReader returns a reader of the bytes of one connection.
 func newTestReader(bytes string) *replyReader {
-	return newReplyReader(strings.NewReader(bytes), &byteBudget{limit: maxPendingBodies})
+	return newReplyReader(strings.NewReader(bytes), ramp.NewMemory(testMemory))
 }
--- a/cmd/sycamorerampd/main.go
+++ b/cmd/sycamorerampd/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -29,6 +30,10 @@
 	exitSettings = 2 // the command line or the settings file is wrong
 )
 
+// heapDivisor divides the memory of the process to give the size of the heap from which
+// on the garbage collector runs more often. The kernel's buffers count as memory too.
+const heapDivisor = 2
+
 // arguments are the command line of the daemon.
 type arguments struct {
 	Settings string `arg:"--settings,required,env:SYCAMORERAMP_SETTINGS" help:"TOML file with the daemon's settings"`
@@ -103,6 +108,9 @@
 		port, rest, _ := strings.Cut(a.Metrics, "/")
 		address, path = net.JoinHostPort(d.IP, port), "/"+rest
 	}
+	if d.MemoryLimit > 0 {
+		debug.SetMemoryLimit(d.MemoryLimit / heapDivisor)
+	}
 	e, err := daemon.NewEdge(d, load, address, path, ramp.SystemClock{}, os.Stdout, slog.LevelInfo)
 	if err != nil {
 		return err
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -50,6 +51,12 @@
 	exitMargin = 400 * time.Millisecond
 	// answerMargin is the time before the shutdown ends by which callers are answered.
 	answerMargin = 200 * time.Millisecond
+	// defaultMemory is the memory of the process, in bytes, if the deployment states none.
+	defaultMemory = 512 << 20
+	// bodyMemoryDivisor divides the memory of the process to give the memory for bodies.
+	// The garbage collector lets as much again go unused, and buffers of connections and
+	// the daemon's own state need memory too.
+	bodyMemoryDivisor = 8
 	// logFlushTimeout bounds the time for writing the last log lines at exit.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -121,7 +128,7 @@
 	e.observer = &fleet.Observer{
 		Clock: clock, Log: e.log, Self: e.self, Store: store, Registry: platform.Registry{Store: store},
 		Translator: platform.Translator{}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
-		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: min(d.ApplyBound, d.DrainBound),
+		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
 	}
 	e.observer.Init()
@@ -138,20 +145,21 @@
 // collect requests.
 func (e *Edge) newServers(metricsAddress, metricsPath string) {
 	d := e.deployment
+	memory := ramp.NewMemory(cmp.Or(d.MemoryLimit, defaultMemory) / bodyMemoryDivisor)
 	relay := &query.Relay{
 		Clock: e.clock, Log: e.log, Pool: e.attemptPool, Routes: e.routes,
 		Picker: e.picker,
 		Budget: retry.NewFleetBudget(retry.Bounds{
 			Ratio: d.RetryRatio, Slack: d.RetrySlack, Window: d.RetryWindow,
 		}, e.observer.FleetSize, e.clock),
-		Exchanger: backend.NewExchanger(platform.CallCodec{}, e.clock),
-		Collector: e.peers, Delegates: fleet.NewDelegateSelector(e.members, e.clock), Domain: d.Domain,
+		Exchanger: backend.NewExchanger(platform.CallCodec{}, memory, e.clock),
+		Collector: e.peers, Memory: memory, Delegates: fleet.NewDelegateSelector(e.members, e.clock), Domain: d.Domain,
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
 		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue, Resumed: e.pauses.Resumed,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
 	e.peerServer.WithCollectHandler(relay.Init())
-	front := platform.CallerHandler{Messages: relay, Routing: e.routes, Leaving: e.isLeaving}
+	front := platform.CallerHandler{Messages: relay, Memory: memory, Routing: e.routes, Leaving: e.isLeaving}
 	e.front = e.addServer(d.CallerAddress, front)
 	e.front.ConnState = e.idleCloser.Observe
 	directory := http.NewServeMux()
--- a/deployment.go
+++ b/deployment.go
@@ -16,6 +16,7 @@
 
 	ApplyBound  time.Duration // time within which a change in the store must take effect
 	DrainBound  time.Duration // time within which a draining replica must stop getting new requests
+	MemoryLimit int64         // memory of the process, in bytes; 0 if not stated
 	GracePeriod time.Duration // time from the stop signal to the kill
 	AddressTTL  time.Duration // longest time for which a caller caches addresses
 	RetryRatio  float64       // retries and hedges per request to a service, over all daemons
--- a/message.go
+++ b/message.go
@@ -19,6 +19,8 @@
 	Target string  // path and query as the caller sent them
 	Fields []Field // without hop-by-hop fields and those that the system sets; never modified
 	Body   []byte  // whole; never modified
+
+	Held *Holding // the memory that is held until the message is answered; nil to hold none
 }
 
 // Call is one attempt to get a response to a message from a replica.
--- a/query/collection.go
+++ b/query/collection.go
@@ -24,6 +24,8 @@
 func (r *Relay) HandleCollect(ctx context.Context, c ramp.CollectRequest, send func(ramp.Batch) error) error {
 	routing, _ := r.Routes.Current()
 	started := r.Clock.Now()
+	c.Message.Held = r.Memory.Hold()
+	defer c.Message.Held.Release()
 	e := r.newExecution(ctx, c.Message, c.Route, routing, started, c.Deadline)
 	defer e.cancel()
 	e.collection = collection{
--- a/query/relay.go
+++ b/query/relay.go
@@ -42,6 +42,7 @@
 	Budget         ramp.RetryBudget
 	Exchanger      ramp.Exchanger
 	Collector      ramp.Collector
+	Memory         *ramp.Memory                        // for the replies collected for other daemons; nil for no bound
 	Delegates      ramp.DelegateSelector               // nil to send to all replicas directly
 	Domain         string                              // this daemon's own failure domain
 	FleetSize      func() int                          // returns how many daemons share the connections to replicas
