demo: wait until each daemon has a complete index version

Cause: the demo waited for the first of its four daemons and then searched all. Change: the wait is for each of the four. The searches that follow and what they must show are as before.

--- a/internal/demo/demo.sh
+++ b/internal/demo/demo.sh
@@ -53,10 +53,13 @@
 expect "lists in force everywhere" "in force on every daemon" "$work/apply"
 
 export SYCAMORERAMP_KEY=restorer-key
-# Waits until a daemon has seen a complete index version, for 20 s at most.
-for _ in $(seq 100); do
-	if ramp search --address 127.0.2.1:8100 prisms >/dev/null 2>&1; then break; fi
-	sleep 0.2
+# Waits until each daemon has seen a complete index version, for 20 s at most. They read the
+# inventories of the backend servers independently.
+for n in 1 2 3 4; do
+	for _ in $(seq 100); do
+		if ramp search --address "127.0.2.$n:8100" prisms >/dev/null 2>&1; then break; fi
+		sleep 0.2
+	done
 done
 for n in 1 2 3 4; do
 	ramp search --address "127.0.2.$n:8100" --account --json prisms >"$work/search$n"
