daemon: register the replicas of edge tests in one place

Cause: the memory test wrote the entry of a replica again that the fixture of the edge tests already wrote. Change: both call edgeFixture.register. No check, case or bound has changed.

--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -78,8 +78,13 @@
 		_, _ = fmt.Fprintf(w, "%-16s%s", strings.Repeat(service, 16), body)
 	}))
 	f.t.Cleanup(server.Close)
+	f.register(id, service, server.Listener.Addr().String())
+}
+
+// register writes the entry of a replica.
+func (f *edgeFixture) register(id, service, address string) {
 	value, _ := platform.EncodeInstance(ramp.Instance{
-		Replica: ramp.Replica{ID: id, Address: server.Listener.Addr().String(), Domain: "z"}, Service: service,
+		Replica: ramp.Replica{ID: id, Address: address, Domain: "z"}, Service: service,
 		State: ramp.Live, StartedMillis: 1, Sequence: 1,
 	})
 	_, err := f.store.Swap(f.t.Context(), "servers/"+id, value, 0, "")
--- a/daemon/memory_test.go
+++ b/daemon/memory_test.go
@@ -16,9 +16,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	ramp "sycamoreramp.example/sycamoreramp"
-	"sycamoreramp.example/sycamoreramp/platform"
 )
 
 const memoryConfig = `{"version":1,"limits":{"maxBodyBytes":8388608,"idleTimeoutMs":15000},
@@ -79,13 +76,7 @@
 				}()
 			}
 		}()
-		id := "i-odd-" + strconv.Itoa(n)
-		value, _ := platform.EncodeInstance(ramp.Instance{
-			Replica: ramp.Replica{ID: id, Address: listener.Addr().String(), Domain: "z"}, Service: "odd",
-			State: ramp.Live, StartedMillis: 1, Sequence: 1,
-		})
-		_, err = f.store.Swap(f.t.Context(), "servers/"+id, value, 0, "")
-		is.New(f.t).NoErr(err)
+		f.register("i-odd-"+strconv.Itoa(n), "odd", listener.Addr().String())
 	}
 }
 
