sycamoreramp, query: interfaces for tenants, allowances, admission, evacuation and capacity

Cause: the path that serves the platform's callers knows no tenant, counts no allowance, admits everything, and has no notion of evacuation or of the capacity of a daemon's machine. Change: values and interfaces in the root package, the order of checks in query.Relay, and the settings that state bounds; nothing is active without tenants in the configuration.

--- a/errors.go
+++ b/errors.go
@@ -27,6 +27,9 @@
 	ReasonSize     Reason = "size"     // the request is larger than the configuration allows
 	ReasonPaused   Reason = "paused"   // the daemon was paused, so the request may have waited for any time
 	ReasonCaller   Reason = "caller"   // the caller closed the connection
+
+	ReasonUnconfirmed Reason = "unconfirmed" // the configuration may be too old to authorise a key
+	ReasonAllowance   Reason = "allowance"   // the tenant's allowance is used up
 )
 
 // RefusedError is a refusal of a caller's request.
--- a/fleet.go
+++ b/fleet.go
@@ -105,6 +105,14 @@
 	CallerAddress string // IP number and port for callers
 	PeerAddress   string // IP number and port for other daemons
 	Leaving       bool   // it is shutting down and gets no new callers
+	Capacity      Capacity
+}
+
+// Capacity is what the machine of a daemon can carry. The zero value means that it is not
+// known.
+type Capacity struct {
+	Processor float64 `json:"processor"` // processor time per second, in seconds of a usual core
+	Link      float64 `json:"link"`      // megabits per second
 }
 
 // WithLeaving returns the daemon marked as leaving.
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -140,3 +140,5 @@
 }
 
 func (r *replicaLog) Expire() []ramp.Instance { return nil }
+
+func (*replicaLog) SetEvacuated(string, bool, time.Time) bool { return false }
--- a/message.go
+++ b/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -20,9 +21,38 @@
 	Fields []Field // without hop-by-hop fields and those that the system sets; never modified
 	Body   []byte  // whole; never modified
 
+	Key          KeyHash // hash of the key that the caller sent; meaningless unless HasKey is set
+	HasKey       bool    // the caller sent a key
+	TenantFields []Field // fields that are forwarded only if the configuration has no tenants; never modified
+
+	Tenant   string // name of the tenant whose key the caller sent; "" for none
+	Version  uint64 // version of the configuration under which the key was authorised; 0 without a tenant
+	Priority int    // rank; 0 is the highest
+
 	Held *Holding // the memory that is held until the message is answered; nil to hold none
 }
 
+// WithTenant returns the message of a caller that was authorised as the tenant under the
+// given version of the configuration.
+func (m Message) WithTenant(name string, version uint64) Message {
+	m.Tenant, m.Version = name, version
+	return m
+}
+
+// WithPriority returns the message with another rank.
+func (m Message) WithPriority(priority int) Message {
+	m.Priority = priority
+	return m
+}
+
+// WithTenantFields returns the message with the fields that are forwarded without tenants
+// among the others.
+func (m Message) WithTenantFields() Message {
+	m.Fields = slices.Concat(m.Fields, m.TenantFields)
+	m.TenantFields = nil
+	return m
+}
+
 // Call is one attempt to get a response to a message from a replica.
 type Call struct {
 	Message        Message
--- a/platform.go
+++ b/platform.go
@@ -46,11 +46,12 @@
 	Entries      []Entry // last change of each key; never modified
 }
 
-// Record is the decoded form of an entry of the store. At most one field is not nil.
+// Record is the decoded form of an entry of the store. At most one field is set.
 type Record struct {
-	Routing  *Routing  // the operator's configuration
-	Instance *Instance // a replica; only the ID is set for a removed entry
-	Member   *Member   // a daemon
+	Routing   *Routing  // the operator's configuration
+	Evacuated string    // failure domain that is evacuated, or not any more if the entry was removed; "" for none
+	Instance  *Instance // a replica; only the ID is set for a removed entry
+	Member    *Member   // a daemon
 }
 
 // Translator decodes entries of the store.
--- a/query/relay.go
+++ b/query/relay.go
@@ -44,6 +44,9 @@
 	Collector      ramp.Collector
 	Memory         *ramp.Memory                        // for the replies collected for other daemons; nil for no bound
 	Delegates      ramp.DelegateSelector               // nil to send to all replicas directly
+	Authorizer     ramp.Authorizer                     // nil if keys stay valid until a daemon learns of the change
+	Allowances     ramp.AllowanceLimiter               // nil if tenants have no allowance
+	Admission      ramp.AdmissionController            // nil to admit all messages
 	Domain         string                              // this daemon's own failure domain
 	FleetSize      func() int                          // returns how many daemons share the connections to replicas
 	ReplyMargin    time.Duration                       // part of a route's objective reserved for sending the answer
@@ -124,13 +127,18 @@
 	}
 	path, _, _ := strings.Cut(m.Target, "?")
 	route, found := routing.Match(m.Host, path)
-	result := ramp.RelayResult{Route: route, RoutingVersion: routing.Version}
+	result := ramp.RelayResult{Route: route, RoutingVersion: routing.Version, Priority: route.Priority}
 	switch {
 	case !found:
 		return result, &ramp.RefusedError{Reason: ramp.ReasonRoute, Ran: ramp.NotRun}
 	case routing.Limits.MaxBodyBytes > 0 && len(m.Body) > routing.Limits.MaxBodyBytes:
 		return result, &ramp.RefusedError{Reason: ramp.ReasonSize, Ran: ramp.NotRun}
 	}
+	m, tenant, err := r.authenticate(m, route, routing)
+	if err != nil {
+		return result, err
+	}
+	result.Tenant, result.Priority = tenant.Name, m.Priority
 	result.PriorWait = r.priorWait(route.Name, limit)
 	deadline := started.Add(route.Timeout)
 	if limit > 0 && limit < route.Timeout {
@@ -146,10 +154,16 @@
 			deadline = by
 		}
 	}
+	release, err := r.admit(ctx, m, tenant, result, deadline)
+	if err != nil {
+		return result, err
+	}
 	e := r.newExecution(ctx, m, route, routing, started, deadline)
 	e.priorWait = result.PriorWait
 	defer e.cancel()
-	return e.run(ctx, result)
+	answer, err := e.run(ctx, result)
+	release(answer, err)
+	return answer, err
 }
 
 // answerBy returns the time by which all answers must have been sent, if the
--- a/relay.go
+++ b/relay.go
@@ -94,6 +94,8 @@
 	MissingParts   int       // number of parts that are not in the answer
 	TotalParts     int       // number of parts of a complete answer; 1 for the response of one replica
 	Attempts       []Attempt // never modified
+	Tenant         string    // name of the caller's tenant; "" for none
+	Priority       int       // rank of the request; 0 is the highest
 	Elapsed        time.Duration
 	PriorWait      time.Duration // estimated time that the caller spent on earlier tries of the request
 }
@@ -116,6 +118,10 @@
 	// MarkRemoved records that an entry was removed, which the store acknowledged no
 	// earlier than notBefore. It reports whether the replica is known.
 	MarkRemoved(id string, notBefore time.Time) bool
+	// SetEvacuated records that the replicas of a failure domain must get no requests, or
+	// that they may get them again, which the store acknowledged no earlier than notBefore.
+	// It reports whether that is new.
+	SetEvacuated(domain string, evacuated bool, notBefore time.Time) bool
 	// Expire evicts and returns the replicas whose entries have been missing for
 	// longer than the grace period.
 	Expire() []Instance
--- a/replica/instances.go
+++ b/replica/instances.go
@@ -117,6 +117,7 @@
 	grace       gracePeriods
 	services    *ramp.Table[string, []registration] // by service name, sorted by replica id; slices are never modified
 	serviceByID *ramp.Table[string, string]         // service name by replica id
+	evacuated   *ramp.Table[string, bool]           // by failure domain
 }
 
 // NewInstances returns an empty registry. A leaving replica must get no new requests
@@ -127,6 +128,7 @@
 		grace:       newGracePeriods(drainBound),
 		services:    ramp.NewTable[string, []registration](ramp.RankLayouts),
 		serviceByID: ramp.NewTable[string, string](ramp.RankLayouts),
+		evacuated:   ramp.NewTable[string, bool](ramp.RankLayouts),
 	}
 }
 
--- a/route.go
+++ b/route.go
@@ -21,6 +21,8 @@
 	Gather      []string          // services that each supply a part of every answer; never modified
 	TopK        int               // number of greatest records in an answer over Gather
 	MinCoverage float64           // least share of Gather that an answer needs
+	Priority    int               // rank of its requests; 0 is the highest
+	Public      bool              // requests need no key
 }
 
 // WeightedService is a service with its share of a route's requests.
@@ -67,10 +69,19 @@
 
 // Routing is one version of the operator's configuration.
 type Routing struct {
-	Version        uint64         // 0 for none; increases with each change
-	Routes         []Route        // longest prefix first; never modified
-	MaxConnections map[string]int // connections that each replica of a service accepts; never modified
+	Version        uint64            // 0 for none; increases with each change
+	Routes         []Route           // longest prefix first; never modified
+	MaxConnections map[string]int    // connections that each replica of a service accepts; never modified
+	Warmups        map[string]Warmup // by service; services without one are left out; never modified
 	Limits         CallerLimits
+
+	tenants map[KeyHash]Tenant // by key; nil if the configuration has no tenants; never modified
+}
+
+// Warmup is how the replicas of a service start.
+type Warmup struct {
+	Duration time.Duration // for which a replica is cold after its start
+	Rate     float64       // requests per second that a cold replica accepts from all daemons; 0 for no limit
 }
 
 // WithRoutes returns the routing with the given routes, longest prefix first.
--- a/signals.go
+++ b/signals.go
@@ -11,7 +11,8 @@
 	// RetryAfter is the time for which the replica, which refused a request, accepts no
 	// other one of this daemon. It is 0 for none.
 	RetryAfter time.Duration
-	Ignored    string // names of the fields whose values were unusable, separated by spaces; "" for none
+	Load       *ReplicaLoad // what it said of its load; nil for nothing; never modified
+	Ignored    string       // names of the fields whose values were unusable, separated by spaces; "" for none
 }
 
 // WithRateLimit returns the signals with a rate limit. Of several, the lowest holds.
@@ -35,6 +36,20 @@
 	return s
 }
 
+// ReplicaLoad is what a replica said of its load. It is old as soon as it is read.
+type ReplicaLoad struct {
+	Running  int     // requests that it works on; not negative
+	Waiting  int     // requests in its queue; not negative
+	Slots    int     // requests that it works on at once; positive
+	Slowdown float64 // how much longer than usual work takes on its machine; 1 is usual, positive
+}
+
+// WithLoad returns the signals with what the replica said of its load.
+func (s Signals) WithLoad(l ReplicaLoad) Signals {
+	s.Load = &l
+	return s
+}
+
 // WithIgnored returns the signals with the name of a field whose value was unusable.
 func (s Signals) WithIgnored(field string) Signals {
 	if s.Ignored != "" {
