peer: carry the tenant and rank of a collection, and the capacity of a daemon

Cause: a delegate must set the tenant's name on the parts that it sends, and delegates are chosen by capacity.

--- a/peer/gather.go
+++ b/peer/gather.go
@@ -67,6 +67,7 @@
 		Target: c.Message.Target, Route: c.Route.Name, ObjectiveUs: c.Route.Objective.Microseconds(),
 		Top: uint32(c.Route.TopK), Services: c.Services, LeftUs: c.Deadline.Sub(now).Microseconds(),
 		Apart: c.Separate, Insist: c.Insist, BatchUs: c.BatchDelay.Microseconds(),
+		Tenant: c.Message.Tenant, Version: c.Message.Version, Priority: int32(c.Message.Priority),
 	}
 	for _, f := range c.Message.Fields {
 		message.Fields = append(message.Fields, &wire.Field{Name: f.Name, Value: f.Value})
@@ -78,7 +79,10 @@
 // route gets one attempt for each part.
 func decodeCollectRequest(m *wire.Collection, now time.Time) ramp.CollectRequest {
 	c := ramp.CollectRequest{
-		Message: ramp.Message{ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Target: m.GetTarget()},
+		Message: ramp.Message{
+			ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Target: m.GetTarget(),
+			Tenant: m.GetTenant(), Version: m.GetVersion(), Priority: int(m.GetPriority()),
+		},
 		Route: ramp.Route{
 			Name: m.GetRoute(), Idempotent: true, MaxAttempts: 1, TopK: int(m.GetTop()),
 			Objective: time.Duration(m.GetObjectiveUs()) * time.Microsecond, Gather: m.GetServices(),
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -161,6 +161,7 @@
 	return &wire.Daemon{
 		Id: d.ID, Incarnation: d.Incarnation, Domain: d.Domain,
 		Caller: d.CallerAddress, Peer: d.PeerAddress, Leaving: d.Leaving,
+		Processor: d.Capacity.Processor, Link: d.Capacity.Link,
 	}
 }
 
@@ -168,6 +169,7 @@
 	return ramp.Daemon{
 		ID: m.GetId(), Incarnation: m.GetIncarnation(), Domain: m.GetDomain(), CallerAddress: m.GetCaller(),
 		PeerAddress: m.GetPeer(), Leaving: m.GetLeaving(),
+		Capacity: ramp.Capacity{Processor: m.GetProcessor(), Link: m.GetLink()},
 	}
 }
 
