fleet, daemon: give callers, collections and the store's watch to machines that can carry them

Cause: with 122 machines of 0.134 cores beside 6 of 0.8, callers were spread over all. Assembling an answer of 90 parts took a weak machine tens of milliseconds, and two weak watchers passed all changes of the store on to 43 daemons. Change: the settings state processor and link, registrations and gossip carry them. Where a member has less than half of the strongest processor, callers are told of strong daemons only, delegates are chosen by weighted rendezvous hashing, and strong daemons watch the store.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -114,7 +114,7 @@
 		log: slog.New(slog.NewTextHandler(writer, &slog.HandlerOptions{Level: level})),
 		self: ramp.Daemon{
 			ID: d.Name, Incarnation: incarnation, Domain: d.Domain,
-			CallerAddress: d.CallerAddress, PeerAddress: d.PeerAddress,
+			CallerAddress: d.CallerAddress, PeerAddress: d.PeerAddress, Capacity: d.Capacity,
 		},
 		attemptPool: ramp.NewPool(attemptWorkers, attemptQueue), gossipPool: ramp.NewPool(gossipWorkers, gossipQueue),
 		peers: peer.NewClient("", clock), routes: fleet.NewRoutes(), instances: replica.NewInstances(d.DrainBound, clock),
--- a/fleet/delegates.go
+++ b/fleet/delegates.go
@@ -69,22 +69,18 @@
 	for i, d := range candidates {
 		hashes[i] = ramp.HashKey(d.Incarnation)
 	}
+	weights := delegateWeights(candidates)
 	for i, service := range services {
-		key := ramp.HashKey(service)
-		best, highest := 0, uint64(0)
-		for n, hash := range hashes {
-			if weight := mixHashes(key, hash); weight >= highest {
-				best, highest = n, weight
-			}
-		}
-		d := candidates[best]
+		d := candidates[highestHash(ramp.HashKey(service), hashes, weights)]
 		selected[i] = ramp.Delegate{Daemon: d, Self: d.Incarnation == h.members.self}
 	}
 	return selected
 }
 
 // Count implements [ramp.DelegateSelector].
-func (h *DelegateSelector) Count(domain string) int { return len(h.candidates(domain)) }
+func (h *DelegateSelector) Count(domain string) int {
+	return equivalents(h.candidates(domain), h.members.All())
+}
 
 // candidates returns the daemons of the failure domain that may be selected, this
 // daemon included, sorted by id.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -178,7 +178,7 @@
 		return !other.daemon.Leaving && (other.live(now) || other.daemon.Incarnation == m.self)
 	})
 	var local, remote []string
-	for _, d := range candidates {
+	for _, d := range strongest(candidates) {
 		if d.Domain == domain {
 			local = append(local, d.CallerAddress)
 		} else {
--- a/fleet/observer_gossip.go
+++ b/fleet/observer_gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -91,14 +92,9 @@
 // domainWatchers returns the daemons among others that watch the store for this
 // daemon's failure domain.
 func (o *Observer) domainWatchers(others []ramp.Daemon) []ramp.Daemon {
-	var watchers []ramp.Daemon
-	members := o.Members.All()
-	for _, d := range others {
-		if d.Domain == o.Self.Domain && !d.Leaving && IsWatcher(d, members) {
-			watchers = append(watchers, d)
-		}
-	}
-	return watchers
+	return slices.DeleteFunc(watchersOf(o.Self.Domain, o.Members.All()), func(d ramp.Daemon) bool {
+		return d.Leaving || !slices.ContainsFunc(others, func(other ramp.Daemon) bool { return other.ID == d.ID })
+	})
 }
 
 // gossipWith exchanges messages with another daemon and applies the changes
--- a/fleet/registrations.go
+++ b/fleet/registrations.go
@@ -209,18 +209,49 @@
 const watchersPerDomain = 2
 
 // IsWatcher reports whether self is one of the daemons that watch the store on
-// behalf of their failure domain: those with the highest hashes. All daemons
-// select the same watchers from the same members, and a membership change
-// replaces few of them.
+// behalf of their failure domain, see [watchersOf].
 func IsWatcher(self ramp.Daemon, members []ramp.Daemon) bool {
-	own := watcherHash(self)
-	above := 0
+	isSelf := func(d ramp.Daemon) bool { return d.Incarnation == self.Incarnation }
+	if !slices.ContainsFunc(members, isSelf) {
+		members = append(slices.Clip(members), self)
+	}
+	return slices.ContainsFunc(watchersOf(self.Domain, members), isSelf)
+}
+
+// watchersOf returns the members that watch the store on behalf of a failure domain:
+// those with the highest hashes. All daemons select the same watchers from the same
+// members, and a membership change replaces few of them. Weak daemons watch only
+// where there are not enough others, since a watcher passes every change of the
+// store on to its failure domain.
+func watchersOf(domain string, members []ramp.Daemon) []ramp.Daemon {
+	type candidate struct {
+		daemon ramp.Daemon
+		weak   bool
+		hash   uint64
+	}
+	isWeak := weakness(members)
+	var best []candidate
 	for _, d := range members {
-		if d.Domain == self.Domain && d.Incarnation != self.Incarnation && watcherHash(d) > own {
-			above++
+		if d.Domain != domain {
+			continue
+		}
+		c := candidate{daemon: d, weak: isWeak(d), hash: watcherHash(d)}
+		at, _ := slices.BinarySearchFunc(best, c, func(a, b candidate) int {
+			if a.weak != b.weak && a.weak || a.weak == b.weak && a.hash < b.hash {
+				return 1
+			}
+			return -1
+		})
+		if at < watchersPerDomain {
+			best = slices.Insert(best, at, c)
+			best = best[:min(len(best), watchersPerDomain)]
 		}
 	}
-	return above < watchersPerDomain
+	watchers := make([]ramp.Daemon, 0, watchersPerDomain)
+	for _, c := range best {
+		watchers = append(watchers, c.daemon)
+	}
+	return watchers
 }
 
 func watcherHash(d ramp.Daemon) uint64 {
--- a/gathering.go
+++ b/gathering.go
@@ -71,7 +71,8 @@
 	// Grouped reports whether the fleet is so large that a daemon leaves all replicas to
 	// their delegates, also those in its own failure domain and for repeated attempts.
 	Grouped() bool
-	// Count returns the number of daemons that may be selected in the failure domain.
+	// Count returns the number of daemons that may be selected in the failure domain. If
+	// some daemons of the fleet are weak, it is the number of strong ones that carry as much.
 	Count(domain string) int
 	// Report records whether a daemon answered in time.
 	Report(d Daemon, inTime bool)
