--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 FUZZTIME ?= 5s
 fuzz:
 	go test ./platform -run '^$$' -fuzz '^FuzzTranslate$$' -fuzztime $(FUZZTIME)
+	go test ./platform -run '^$$' -fuzz '^FuzzTenants$$' -fuzztime $(FUZZTIME)
 	go test ./platform -run '^$$' -fuzz '^FuzzSettings$$' -fuzztime $(FUZZTIME)
 	go test ./platform -run '^$$' -fuzz '^FuzzFront$$' -fuzztime $(FUZZTIME)
 	go test ./platform -run '^$$' -fuzz '^FuzzSignals$$' -fuzztime $(FUZZTIME)
