replica: grant a start one grace period when it leaves

Cause: Instances.Expire evicts a registration whose entry was missing, and with it the end of the grace period. A start whose first entry that is seen says draining gets no grace period, since it may have drained for any time. Two earlier cases of TestInstances start with such an entry and now record that its replica gets nothing.

--- a/replica/instances.go
+++ b/replica/instances.go
@@ -64,16 +64,25 @@
 	return end
 }
 
-// withInstance returns the registration after its entry was written again.
-func (r registration) withInstance(i ramp.Instance, notBefore, now time.Time) registration {
-	drainingUntil := r.drainingUntil
+// withInstance returns the registration after its entry was written again. The argument
+// departedUntil is the end of the grace period that this start of the replica was granted
+// before, or zero.
+func (r registration) withInstance(i ramp.Instance, departedUntil, notBefore, now time.Time) registration {
+	next := registration{Instance: i, readAt: now, grace: r.grace}
 	switch {
 	case i.State != ramp.Leaving:
-		drainingUntil = time.Time{}
-	case drainingUntil.IsZero() || !i.SameStart(r.Instance):
-		drainingUntil = r.grace.end(r.grace.draining, notBefore, now)
+	case !departedUntil.IsZero():
+		next.drainingUntil = departedUntil
+	case i.SameStart(r.Instance) && !r.drainingUntil.IsZero():
+		next.drainingUntil = r.drainingUntil // the departure was forgotten
+	case !i.SameStart(r.Instance):
+		// Its first entry that was seen says draining. The store may have acknowledged an
+		// earlier one that said so at any time.
+		next.drainingUntil = now
+	default:
+		next.drainingUntil = r.grace.end(r.grace.draining, notBefore, now)
 	}
-	return registration{Instance: i, readAt: now, drainingUntil: drainingUntil, grace: r.grace}
+	return next
 }
 
 // withRemoval returns the registration after its entry was deleted.
@@ -118,6 +127,7 @@
 	services    *ramp.Table[string, []registration] // by service name, sorted by replica id; slices are never modified
 	serviceByID *ramp.Table[string, string]         // service name by replica id
 	evacuated   *ramp.Table[string, bool]           // by failure domain
+	departures  departures
 }
 
 // NewInstances returns an empty registry. A leaving replica must get no new requests
@@ -129,6 +139,7 @@
 		services:    ramp.NewTable[string, []registration](ramp.RankLayouts),
 		serviceByID: ramp.NewTable[string, string](ramp.RankLayouts),
 		evacuated:   ramp.NewTable[string, bool](ramp.RankLayouts),
+		departures:  newDepartures(),
 	}
 }
 
@@ -140,21 +151,28 @@
 		s.services.Update(earlier, func(old []registration) []registration { return withoutID(old, i.ID) })
 	}
 	changed := false
+	departedUntil := s.departures.until(i)
+	var current registration
 	s.services.Update(i.Service, func(old []registration) []registration {
 		at, found := findByID(old, i.ID)
 		if !found {
 			changed = true
-			return slices.Insert(slices.Clone(old), at, registration{grace: s.grace}.withInstance(i, notBefore, now))
+			current = registration{grace: s.grace}.withInstance(i, departedUntil, notBefore, now)
+			return slices.Insert(slices.Clone(old), at, current)
 		}
 		if !i.Newer(old[at].Instance) {
 			return old
 		}
 		changed = old[at].State != i.State || !old[at].SameStart(i) || !old[at].removedUntil.IsZero()
 		next := slices.Clone(old)
-		next[at] = old[at].withInstance(i, notBefore, now)
+		current = old[at].withInstance(i, departedUntil, notBefore, now)
+		next[at] = current
 		return next
 	})
 	s.serviceByID.Put(i.ID, i.Service)
+	if !current.drainingUntil.IsZero() {
+		s.departures.record(current.Instance, current.drainingUntil, now)
+	}
 	return changed
 }
 
@@ -165,15 +183,20 @@
 	if !known {
 		return false
 	}
+	var removed registration
 	s.services.Update(service, func(old []registration) []registration {
 		at, found := findByID(old, id)
 		if !found {
 			return old
 		}
 		next := slices.Clone(old)
-		next[at] = old[at].withRemoval(notBefore, now)
+		removed = old[at].withRemoval(notBefore, now)
+		next[at] = removed
 		return next
 	})
+	if !removed.removedUntil.IsZero() {
+		s.departures.record(removed.Instance, removed.removedUntil, now)
+	}
 	return true
 }
 
@@ -194,6 +217,7 @@
 		s.serviceByID.Delete(d.ID)
 		s.services.Update(d.Service, func(old []registration) []registration { return withoutID(old, d.ID) })
 	}
+	s.departures.expire(now)
 	return expired
 }
 
--- a/replica/instances_test.go
+++ b/replica/instances_test.go
@@ -107,6 +107,72 @@
 			[]step{update(0, instance("r", 1, 9, leaving)), update(time.Second, instance("r", 2, 1, live))},
 		},
 		{"entry of an earlier start", []step{update(0, instance("r", 2, 1, live)), update(0, instance("r", 1, 9, leaving))}},
+		{
+			"entry vanishes while it drains, and is written again",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				update(0, instance("r", 1, 2, leaving)),
+				remove(3 * time.Second),
+				expire(2 * time.Second),
+				update(time.Second, instance("r", 1, 3, leaving)),
+			},
+		},
+		{
+			"entry vanishes, and is written again as draining",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				remove(0),
+				expire(2 * time.Second),
+				update(4*time.Second, instance("r", 1, 2, leaving)),
+			},
+		},
+		{
+			"entry vanishes, and is written again as draining within its grace period",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				remove(0),
+				update(1500*time.Millisecond, instance("r", 1, 2, leaving)),
+				expire(500 * time.Millisecond),
+			},
+		},
+		{
+			"entry vanishes, is written again, and later drains",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				remove(0),
+				expire(2 * time.Second),
+				update(time.Second, instance("r", 1, 2, live)),
+				update(5*time.Second, instance("r", 1, 3, leaving)),
+			},
+		},
+		{
+			"drains twice",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				update(0, instance("r", 1, 2, leaving)),
+				update(500*time.Millisecond, instance("r", 1, 3, live)),
+				update(time.Second, instance("r", 1, 4, leaving)),
+			},
+		},
+		{
+			"drains, and restarts under the same id",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				update(0, instance("r", 1, 2, leaving)),
+				update(time.Second, instance("r", 2, 1, live)),
+				update(time.Second, instance("r", 2, 2, leaving)),
+			},
+		},
+		{
+			"drains for longer than departures are remembered",
+			[]step{
+				update(0, instance("r", 1, 1, live)),
+				update(0, instance("r", 1, 2, leaving)),
+				expire(departureLife),
+				update(0, instance("r", 1, 3, leaving)),
+			},
+		},
+		{"first entry that is seen says draining", []step{update(0, instance("r", 1, 7, leaving))}},
 	}
 	var b strings.Builder
 	for _, test := range tests {
