replica, fleet, platform: evacuate failure domains

Cause: the operator had no way to take all requests away from the replicas of a failure domain before it goes. Change: platform.Translator decodes the operator's entry, fleet.Observer applies it before the other entries of a change, and replica.Picker uses no replica in the domain from then on, for picks, right before the first byte, for collections and for the domains that parts are asked in. At the end load returns over the warm-up time of the service, or 5 s. A delegate asks with the new Picker.Near whether it has a healthy replica, since Domains leaves a returning domain out of some results. Operator view and a gauge show the evacuated domains. Each daemon follows as soon as it knows, so the time before the acknowledgement that is known to be without the change is not needed.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -133,7 +133,7 @@
 	}
 	e.observer.Init()
 	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
-	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock)
+	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock).WithRouting(e.routes)
 	e.peerServer = peer.NewServer(edgePeerHandler{e.observer}, "", clock)
 	e.idleCloser = newIdleCloser(e.routes, clock)
 	e.newServers(metricsAddress, metricsPath)
@@ -290,6 +290,7 @@
 	b := operator.View{
 		Daemon: e.self.ID, Incarnation: e.self.Incarnation, Domain: e.self.Domain, Leaving: e.isLeaving(),
 		Revision: e.observer.Mirror.Revision(), StoreAge: operator.FormatAge(e.observer.ConfirmedAge()),
+		Evacuated: e.instances.Evacuated(),
 	}
 	routing, _ := e.routes.Current()
 	return b.WithRouting(routing).WithReplicas(e.picker.Views()).WithDaemons(e.members.Views())
@@ -302,6 +303,7 @@
 	return edgeGauges{
 		routingVersion: routing.Version, confirmedAge: age, members: e.observer.FleetSize(), replicas: e.instances.Count(),
 		queuedTasks: e.attemptPool.QueueLen(), droppedLines: e.logWriter.Dropped(), leaving: e.isLeaving(),
+		evacuated: len(e.instances.Evacuated()),
 	}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -204,6 +204,7 @@
 	replicas       int           // registered replicas
 	queuedTasks    int           // tasks waiting for a worker
 	droppedLines   int           // log lines dropped since the start
+	evacuated      int           // failure domains that are evacuated
 	leaving        bool
 }
 
@@ -218,6 +219,7 @@
 		m.setGauge("replicas", float64(s.replicas))
 		m.setGauge("tasks", float64(s.queuedTasks))
 		m.setGauge("dropped_lines", float64(s.droppedLines))
+		m.setGauge("evacuated_domains", float64(s.evacuated))
 		leaving := 0.0
 		if s.leaving {
 			leaving = 1
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -141,4 +141,7 @@
 
 func (r *replicaLog) Expire() []ramp.Instance { return nil }
 
-func (*replicaLog) SetEvacuated(string, bool, time.Time) bool { return false }
+func (r *replicaLog) SetEvacuated(domain string, evacuated bool, _ time.Time) bool {
+	r.lines = append(r.lines, fmt.Sprintf("evacuated %s %t", domain, evacuated))
+	return true
+}
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -276,17 +276,38 @@
 	defer o.applyMutex.Unlock()
 	notBefore := o.changedNotBefore()
 	changed := o.Mirror.Apply(c)
-	for _, e := range changed {
+	records := make([]ramp.Record, len(changed))
+	for i, e := range changed {
 		record, err := o.Translator.Translate(e)
 		if err != nil {
 			o.Log.Warn("store entry ignored", "key", e.Key, "revision", e.Revision, "source", source, "error", err)
 			continue
 		}
-		o.applyEntry(e, record, notBefore, source)
+		if records[i] = record; record.Evacuated != "" {
+			o.applyEvacuation(e, record.Evacuated, notBefore, source)
+		}
+	}
+	for i, e := range changed {
+		o.applyEntry(e, records[i], notBefore, source)
 	}
 	o.publishMembers()
 }
 
+// applyEvacuation applies the start or the end of an evacuation. It is applied before the
+// other entries of a change, so that a daemon that reads the whole store does not use a
+// replica in the failure domain before it knows of the evacuation.
+func (o *Observer) applyEvacuation(e ramp.Entry, domain string, notBefore time.Time, source string) {
+	if !o.Replicas.SetEvacuated(domain, !e.Removed, notBefore) {
+		return
+	}
+	age, _ := o.ConfirmedAge()
+	message := "evacuation applied"
+	if e.Removed {
+		message = "evacuation ended"
+	}
+	o.Log.Info(message, "zone", domain, "revision", e.Revision, "source", source, "age", age)
+}
+
 // applyEntry applies an entry that the store changed no earlier than notBefore.
 func (o *Observer) applyEntry(e ramp.Entry, r ramp.Record, notBefore time.Time, source string) {
 	age, _ := o.ConfirmedAge()
--- a/imports_test.go
+++ b/imports_test.go
@@ -107,6 +107,7 @@
 	"X-Request-Id", "pathPrefix", "trafficSplit", "minCoverage", "targetLatencyMs", "maxConnections", "topK",
 	"kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep", "warmupLeftMs", "expectedRevision",
 	"bindAddrs", "graceS", "retryBudget", "ttl_max_s", "op/config", "X-Instance-Id",
+	"X-Server-Load", "X-Warmup-Ms", "warmupPerS", "op/evacuate", "evacuateMs",
 }
 
 // TestPlatformNamesStayInside fails when a package other than platform contains a
--- a/operator/belief.go
+++ b/operator/belief.go
@@ -24,6 +24,7 @@
 	Revision    uint64        `json:"revision"` // store revision up to which the view is complete
 	StoreAge    string        `json:"age"`      // time since the last response of the store, or "never"
 	Leaving     bool          `json:"leaving"`
+	Evacuated   []string      `json:"evacuated,omitempty"` // failure domains whose replicas get no requests
 	Routes      []RouteView   `json:"routes"`
 	Replicas    []ReplicaView `json:"replicas"`
 	Daemons     []DaemonView  `json:"daemons"`
@@ -161,6 +162,9 @@
 	if b.Leaving {
 		fmt.Fprintln(w, "the daemon is leaving")
 	}
+	if len(b.Evacuated) > 0 {
+		fmt.Fprintf(w, "evacuated: %s\n", strings.Join(b.Evacuated, ", "))
+	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "ROUTE\tHOST\tPREFIX\tREPEAT\tATTEMPTS\tTIMEOUT\tOBJECTIVE\tSERVICES")
 	for _, r := range b.Routes {
--- a/query/collection.go
+++ b/query/collection.go
@@ -109,8 +109,7 @@
 	if !e.bound {
 		return true
 	}
-	domains := e.relay.Picker.Domains(service)
-	if !e.insists && (len(domains) == 0 || domains[0] != e.relay.Domain) {
+	if !e.insists && !e.relay.Picker.Near(service) {
 		return false
 	}
 	if e.repeats {
--- a/relay.go
+++ b/relay.go
@@ -19,9 +19,13 @@
 	// Delay returns the time until a replica of the service accepts a request of this
 	// daemon, 0 if one does now. It reports false when no replica may get requests.
 	Delay(service string) (time.Duration, bool)
-	// Domains returns the failure domains in which the service has a healthy replica,
-	// each once, the daemon's own domain first if it is among them.
+	// Domains returns the failure domains in which the service has a healthy replica and
+	// that requests may be sent to now, each once, the daemon's own domain first if it is
+	// among them. While load returns to a domain after its evacuation, results differ.
 	Domains(service string) []string
+	// Near reports whether the service has a healthy replica in the daemon's own failure
+	// domain.
+	Near(service string) bool
 	// Spread returns the number of failure domains in which the service has replicas.
 	Spread(service string) int
 }
--- a/replica/instances.go
+++ b/replica/instances.go
@@ -126,7 +126,7 @@
 	grace       gracePeriods
 	services    *ramp.Table[string, []registration] // by service name, sorted by replica id; slices are never modified
 	serviceByID *ramp.Table[string, string]         // service name by replica id
-	evacuated   *ramp.Table[string, bool]           // by failure domain
+	evacuated   *ramp.Table[string, evacuations]    // a single entry under the key ""
 	departures  departures
 }
 
@@ -138,7 +138,7 @@
 		grace:       newGracePeriods(drainBound),
 		services:    ramp.NewTable[string, []registration](ramp.RankLayouts),
 		serviceByID: ramp.NewTable[string, string](ramp.RankLayouts),
-		evacuated:   ramp.NewTable[string, bool](ramp.RankLayouts),
+		evacuated:   ramp.NewTable[string, evacuations](ramp.RankLayouts),
 		departures:  newDepartures(),
 	}
 }
@@ -218,6 +218,7 @@
 		s.services.Update(d.Service, func(old []registration) []registration { return withoutID(old, d.ID) })
 	}
 	s.departures.expire(now)
+	s.evacuated.UpdateExisting("", func(old evacuations) evacuations { return old.withoutExpired(now) })
 	return expired
 }
 
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -142,6 +142,7 @@
 	domain    string // this daemon's own failure domain
 	instances *Instances
 	shares    ramp.LimitSharer
+	routing   ramp.RoutingSource                // nil if no service has a warm-up time
 	stats     *ramp.Table[string, replicaStats] // by replica id
 }
 
@@ -156,48 +157,90 @@
 	}
 }
 
+// WithRouting sets the source of the services' warm-up times, and returns the picker. It
+// must be called before the picker is used.
+func (p *Picker) WithRouting(routing ramp.RoutingSource) *Picker {
+	p.routing = routing
+	return p
+}
+
 // healthRank orders the healths of replicas, best first.
 var healthRank = map[ramp.Health]int{
 	ramp.HealthOK: 0, ramp.HealthSuspect: 1, ramp.HealthDeregistered: 2, ramp.HealthDraining: 3,
 }
 
+// selection is the choice among the replicas of a service for one attempt. Replicas in a
+// failure domain to which load returns after an evacuation take part in a share of the
+// selections, and in the others only if no other replica may be used at all.
+type selection struct {
+	best     registration
+	info     ramp.PickInfo
+	shortest float64 // expected latency of best
+}
+
+// withCandidate returns the selection with one more replica that may get the attempt.
+func (c selection) withCandidate(r registration, health ramp.Health, expected float64) selection {
+	better := healthRank[health] < healthRank[c.info.Health] || health == c.info.Health && expected < c.shortest
+	if c.info.Candidates == 0 || better {
+		c.best, c.info.Health, c.shortest = r, health, expected
+	}
+	c.info.Candidates++
+	return c
+}
+
+// empty reports whether no replica may be used, not even later.
+func (c selection) empty() bool {
+	return c.info.Candidates+c.info.Saturated+c.info.Throttled == 0
+}
+
 // Pick implements [ramp.Picker].
 func (p *Picker) Pick(request ramp.PickRequest) (ramp.Instance, ramp.PickInfo, bool) {
 	now := p.clock.Now()
-	var best registration
-	var info ramp.PickInfo
-	shortest := 0.0
+	chosen := p.choose(request, now)
+	best, info := chosen.best, chosen.info
+	if info.Candidates == 0 {
+		return ramp.Instance{}, info, false
+	}
+	info.ExpectedLatency, info.EntryAge = time.Duration(chosen.shortest), now.Sub(best.readAt)
+	info.StartedMillis = best.StartedMillis
+	p.stats.Update(best.ID, func(s replicaStats) replicaStats { return s.withAttempt(best.Instance, now) })
+	return best.Instance, info, true
+}
+
+// choose selects a replica for the attempt.
+func (p *Picker) choose(request ramp.PickRequest, now time.Time) selection {
+	var usual, withheld selection // withheld: in domains to which load returns
+	evacuations, over, draw := p.instances.evacuations(), p.returnTime(request.Service), rand.Float64()
 	for _, r := range p.instances.ofService(request.Service) {
 		if request.Near && r.Domain != p.domain {
 			continue
 		}
 		s := p.statsOf(r)
-		health, ok := p.health(r, s, now)
+		health, ok := p.health(r, s, evacuations, now)
 		if !ok || wasTried(request.Tried, r.ID) {
 			continue
 		}
+		to, limit := &usual, request.Limit
+		if share := evacuations.share(r.Domain, over, now); share < 1 {
+			limit = max(1, int(share*float64(limit)))
+			if draw >= share {
+				to = &withheld
+			}
+		}
 		if delay := s.sendDelay(now); delay > 0 {
-			info = info.WithThrottled(delay)
+			to.info = to.info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= request.Limit {
-			info.Saturated++
+		if s.InFlight >= limit {
+			to.info.Saturated++
 			continue
 		}
-		expected := p.expectedLatency(r, s, now)
-		better := healthRank[health] < healthRank[info.Health] || health == info.Health && expected < shortest
-		if info.Candidates == 0 || better {
-			best, info.Health, shortest = r, health, expected
-		}
-		info.Candidates++
+		*to = to.withCandidate(r, health, p.expectedLatency(r, s, now))
 	}
-	if info.Candidates == 0 {
-		return ramp.Instance{}, info, false
+	if usual.empty() {
+		return withheld
 	}
-	info.ExpectedLatency, info.EntryAge = time.Duration(shortest), now.Sub(best.readAt)
-	info.StartedMillis = best.StartedMillis
-	p.stats.Update(best.ID, func(s replicaStats) replicaStats { return s.withAttempt(best.Instance, now) })
-	return best.Instance, info, true
+	return usual
 }
 
 // Usable implements [ramp.Picker].
@@ -207,14 +250,15 @@
 	if !found || !all[at].SameStart(i) {
 		return false
 	}
-	_, ok := p.health(all[at], p.statsOf(all[at]), p.clock.Now())
+	_, ok := p.health(all[at], p.statsOf(all[at]), p.instances.evacuations(), p.clock.Now())
 	return ok
 }
 
-// health returns the replica's health by its registration, its circuit breaker and the
-// owner of its address. It reports false when the replica must get no requests.
-func (p *Picker) health(r registration, s replicaStats, now time.Time) (ramp.Health, bool) {
-	if s.displaced(r, now) {
+// health returns the replica's health by its registration, its circuit breaker, the
+// owner of its address and the evacuations. It reports false when the replica must get no
+// requests.
+func (p *Picker) health(r registration, s replicaStats, e evacuations, now time.Time) (ramp.Health, bool) {
+	if s.displaced(r, now) || e.evacuated[r.Domain] {
 		return "", false
 	}
 	health, ok := r.withLeavingSince(s.leavingSince).health(now)
@@ -279,11 +323,11 @@
 // Views returns this daemon's view of each replica, sorted by service and id.
 func (p *Picker) Views() []ramp.ReplicaView {
 	now := p.clock.Now()
-	registrations := p.instances.all()
+	registrations, evacuations := p.instances.all(), p.instances.evacuations()
 	views := make([]ramp.ReplicaView, 0, len(registrations))
 	for _, r := range registrations {
 		s := p.statsOf(r)
-		health, ok := p.health(r, s, now)
+		health, ok := p.health(r, s, evacuations, now)
 		if !ok {
 			health = ""
 		}
@@ -299,9 +343,10 @@
 func (p *Picker) Delay(service string) (time.Duration, bool) {
 	now := p.clock.Now()
 	var info ramp.PickInfo
+	evacuations := p.instances.evacuations()
 	for _, r := range p.instances.ofService(service) {
 		s := p.statsOf(r)
-		if _, ok := p.health(r, s, now); !ok {
+		if _, ok := p.health(r, s, evacuations, now); !ok {
 			continue
 		}
 		delay := s.sendDelay(now)
@@ -316,27 +361,49 @@
 // Remove deletes the statistics of a replica that is gone.
 func (p *Picker) Remove(id string) { p.stats.Delete(id) }
 
-// Domains implements [ramp.Picker].
+// Domains implements [ramp.Picker]. A domain to which load returns after an evacuation is
+// among a share of the results, and among the others only if it is alone.
 func (p *Picker) Domains(service string) []string {
 	now := p.clock.Now()
-	var domains []string
+	var domains, withheld []string
+	evacuations, over, draw := p.instances.evacuations(), p.returnTime(service), rand.Float64()
 	for _, r := range p.instances.ofService(service) {
-		s := p.statsOf(r)
-		health, ok := p.health(r, s, now)
-		if !ok || health != ramp.HealthOK || !s.healthy(now) || s.sendDelay(now) > 0 {
+		if !p.sound(r, evacuations, now) {
 			continue
 		}
+		to := &domains
+		if draw >= evacuations.share(r.Domain, over, now) {
+			to = &withheld
+		}
 		switch {
-		case slices.Contains(domains, r.Domain):
+		case slices.Contains(*to, r.Domain):
 		case r.Domain == p.domain:
-			domains = slices.Insert(domains, 0, r.Domain)
+			*to = slices.Insert(*to, 0, r.Domain)
 		default:
-			domains = append(domains, r.Domain)
+			*to = append(*to, r.Domain)
 		}
 	}
+	if len(domains) == 0 {
+		return withheld
+	}
 	return domains
 }
 
+// Near implements [ramp.Picker].
+func (p *Picker) Near(service string) bool {
+	now, evacuations := p.clock.Now(), p.instances.evacuations()
+	return slices.ContainsFunc(p.instances.ofService(service), func(r registration) bool {
+		return r.Domain == p.domain && p.sound(r, evacuations, now)
+	})
+}
+
+// sound reports whether the replica accepts requests, with no reason to ask another one.
+func (p *Picker) sound(r registration, e evacuations, now time.Time) bool {
+	s := p.statsOf(r)
+	health, ok := p.health(r, s, e, now)
+	return ok && health == ramp.HealthOK && s.healthy(now) && s.sendDelay(now) == 0
+}
+
 // Spread implements [ramp.Picker].
 func (p *Picker) Spread(service string) int {
 	var domains []string
