--- a/imports_test.go
+++ b/imports_test.go
@@ -108,6 +108,7 @@
 	"kv-key", "kv-range", "kv-watch", "kv-txn", "kv-lease", "kv-keep", "warmupLeftMs", "expectedRevision",
 	"bindAddrs", "graceS", "retryBudget", "ttl_max_s", "op/config", "X-Instance-Id",
 	"X-Credential", "X-Tenant", "apiKeys", "ratePerS", "strictRevocation", "revokeMs",
+	"X-Server-Load", "X-Warmup-Ms", "warmupPerS", "op/evacuate", "evacuateMs",
 }
 
 // TestPlatformNamesStayInside fails when a package other than platform contains a
