plan, replica, daemon: admit tenants' requests by rank and bound attempts at replicas

Under a configuration with tenants nothing decided who is served when the replicas have no room. plan.TenantAdmitter orders requests by rank and in fair turns in the queues of plan.Admitter, under a limit that shrinks only by signs of lack of room; replica.concurrency keeps the queues of replicas for urgent first attempts. Without tenants nothing changes; the golden files of plan and query are as before.

--- a/bench/relays.go
+++ b/bench/relays.go
@@ -49,6 +49,9 @@
 	down          float64 // share of the replicas that refuse connections
 	silent        float64 // share of the daemons that answer nobody
 	grouped       bool    // daemons collect parts for each other; each one fetches all parts by itself otherwise
+
+	tenants []modelTenant // whose requests come instead of rate; nil for a configuration without tenants
+	split   bool          // each request goes to one of the services
 }
 
 // relayResult is what callers got from a relayLoad.
@@ -69,6 +72,9 @@
 	phase  time.Duration // start of its pauses within pauseInterval
 	factor float64       // multiple of the time of a reply
 	down   bool
+	queue  int // requests that may wait for a slot; further ones are refused as not run
+
+	waiting atomic.Int64 // requests that wait for a slot
 
 	mutex sync.Mutex
 	idle  map[string]int  // idle connections by daemon
@@ -106,7 +112,13 @@
 	if r.down {
 		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Unreachable}
 	}
+	if err := c.BeforeSend(); err != nil {
+		return ramp.Response{}, err
+	}
 	x.fleet.arrivals.Add(1)
+	if r.full() {
+		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Shed, Sent: true, NotRun: true}
+	}
 	isNew := r.takeConnection(x.daemon.ID)
 	if isNew {
 		x.fleet.connections.Add(1)
@@ -135,11 +147,17 @@
 	}
 }
 
+// full reports whether the replica has no free slot and no room in its queue.
+func (r *modelReplica) full() bool { return len(r.slots) == 0 && int(r.waiting.Load()) >= r.queue }
+
 // serve waits for a slot and works. It reports false when ctx ends before.
 func (r *modelReplica) serve(ctx context.Context, work func() time.Duration) bool {
+	r.waiting.Add(1)
 	select {
 	case <-r.slots:
+		r.waiting.Add(-1)
 	case <-ctx.Done():
+		r.waiting.Add(-1)
 		return false
 	}
 	defer func() { r.slots <- struct{}{} }()
@@ -220,6 +238,7 @@
 			m.replicas[id] = newModelReplica(load, random)
 			instances = append(instances, ramp.Instance{
 				Replica: ramp.Replica{ID: id, Address: id, Domain: domain}, Service: service, State: ramp.Live,
+				Capacity: replicaSlots,
 			})
 		}
 	}
@@ -232,11 +251,18 @@
 			m.silentIDs[id] = i < int(load.silent*float64(load.daemons))
 		}
 	}
+	if load.split {
+		for _, service := range route.Gather {
+			route.Split = append(route.Split, ramp.WeightedService{Service: service, Weight: 1})
+		}
+		route.Gather = nil
+	}
+	routing := load.withTenants(ramp.Routing{Version: 1, MaxConnections: limits}.WithRoutes([]ramp.Route{route}))
 	size := func() int { return len(daemons) }
 	log := slog.New(slog.DiscardHandler)
 	for _, d := range daemons {
 		routes, registered := fleet.NewRoutes(), replica.NewInstances(6*time.Second, clock)
-		routes.Update(ramp.Routing{Version: 1, MaxConnections: limits}.WithRoutes([]ramp.Route{route}))
+		routes.Update(routing)
 		for _, i := range instances {
 			registered.Update(i, clock.Now())
 		}
@@ -253,6 +279,9 @@
 		if load.grouped {
 			relay.Collector, relay.Delegates = modelCollector{m, d.Domain}, fleet.NewDelegateSelector(members, clock)
 		}
+		if load.tenants != nil {
+			relay.Admission = newModelAdmission(routes, relay.Picker.(*replica.Picker))
+		}
 		m.relays[d.Incarnation] = relay.Init()
 	}
 	return m
@@ -261,7 +290,7 @@
 func newModelReplica(load relayLoad, random *rand.Rand) *modelReplica {
 	r := &modelReplica{
 		slots: make(chan struct{}, replicaSlots), phase: time.Duration(random.Int64N(int64(pauseInterval))),
-		factor: 1, idle: map[string]int{}, known: map[string]bool{},
+		factor: 1, queue: load.replicaQueue(), idle: map[string]int{}, known: map[string]bool{},
 	}
 	for range replicaSlots {
 		r.slots <- struct{}{}
--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -19,6 +19,7 @@
 	"sycamoreramp.example/sycamoreramp/fleet"
 	"sycamoreramp.example/sycamoreramp/operator"
 	"sycamoreramp.example/sycamoreramp/peer"
+	"sycamoreramp.example/sycamoreramp/plan"
 	"sycamoreramp.example/sycamoreramp/platform"
 	"sycamoreramp.example/sycamoreramp/query"
 	"sycamoreramp.example/sycamoreramp/replica"
@@ -80,6 +81,7 @@
 	members     *fleet.Members
 	instances   *replica.Instances
 	picker      *replica.Picker
+	admitter    *plan.Admitter
 	metrics     *metrics
 	burnRates   *burn.Recorder
 	idleCloser  *idleCloser
@@ -134,6 +136,11 @@
 	e.observer.Init()
 	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
 	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock)
+	e.admitter = plan.NewAdmitter(plan.Config{
+		Clock: clock, Capacity: attemptWorkers + attemptQueue, Floor: 1, Leaving: e.leaving,
+		Members: func() []ramp.Daemon { return nil }, // tenants share no rates among daemons here
+		Lists:   func() ramp.Lists { return ramp.Lists{} },
+	})
 	e.peerServer = peer.NewServer(edgePeerHandler{e.observer}, "", clock)
 	e.idleCloser = newIdleCloser(e.routes, clock)
 	e.newServers(metricsAddress, metricsPath)
@@ -157,6 +164,9 @@
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
 		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue, Resumed: e.pauses.Resumed,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
+		Admission: &plan.TenantAdmitter{
+			Admitter: e.admitter, Clock: e.clock, Log: e.log, Routes: e.routes, Capacity: e.picker.Capacity,
+		},
 	}
 	e.peerServer.WithCollectHandler(relay.Init())
 	front := platform.CallerHandler{Messages: relay, Memory: memory, Routing: e.routes, Leaving: e.isLeaving}
@@ -300,6 +310,7 @@
 	routing, _ := e.routes.Current()
 	age, _ := e.observer.ConfirmedAge()
 	return edgeGauges{
+		State:          e.admitter.State(),
 		routingVersion: routing.Version, confirmedAge: age, members: e.observer.FleetSize(), replicas: e.instances.Count(),
 		queuedTasks: e.attemptPool.QueueLen(), droppedLines: e.logWriter.Dropped(), leaving: e.isLeaving(),
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -149,8 +149,6 @@
 		s := read()
 		m.setGauge("progress", float64(s.inFlight))
 		m.setGauge("tasks", float64(s.queuedTasks))
-		m.setGauge("running", float64(s.Running))
-		m.setGauge("waiting", float64(s.Waiting))
 		m.setGauge("version", float64(s.listsVersion))
 		m.setGauge("age", s.confirmedAge.Seconds())
 		leaving := 0.0
@@ -158,13 +156,23 @@
 			leaving = 1
 		}
 		m.setGauge("leaving", leaving)
-		for _, l := range s.Limits {
-			m.reporter.AllocateGauge("sycamoreramp_limit", map[string]string{tagService: l.Service}).ReportGauge(l.Size)
-		}
+		m.setAdmissionGauges(s.State)
 		text.ServeHTTP(w, r)
 	}
 }
 
+// setAdmissionGauges sets the gauges of an admitter's load and limits. Services beyond the
+// first maxTagValues share a value.
+func (m *metrics) setAdmissionGauges(s plan.State) {
+	m.setGauge("running", float64(s.Running))
+	m.setGauge("waiting", float64(s.Waiting))
+	for _, l := range s.Limits {
+		m.reporter.AllocateGauge("sycamoreramp_limit", map[string]string{
+			tagService: m.boundedTag(l.Service),
+		}).ReportGauge(l.Size)
+	}
+}
+
 // setGauge sets the gauge of the name, to which it adds the common prefix.
 func (m *metrics) setGauge(name string, value float64) {
 	m.reporter.AllocateGauge("sycamoreramp_"+name, nil).ReportGauge(value)
@@ -198,6 +206,7 @@
 
 // edgeGauges holds the values of an edge daemon's gauges.
 type edgeGauges struct {
+	plan.State                   // of the admission of tenants' requests
 	routingVersion uint64        // version of the routing in force
 	confirmedAge   time.Duration // age of the daemon's view of the store
 	members        int           // daemons in the fleet
@@ -218,6 +227,7 @@
 		m.setGauge("replicas", float64(s.replicas))
 		m.setGauge("tasks", float64(s.queuedTasks))
 		m.setGauge("dropped_lines", float64(s.droppedLines))
+		m.setAdmissionGauges(s.State)
 		leaving := 0.0
 		if s.leaving {
 			leaving = 1
--- a/plan/admission.go
+++ b/plan/admission.go
@@ -28,10 +28,12 @@
 	Floor    int                  // lower bound of the concurrency limit of a service; at least 1
 	Members  func() []ramp.Daemon // returns the fleet's members, this daemon included
 	Lists    func() ramp.Lists    // returns the lists in force
+	Leaving  <-chan struct{}      // closed when the daemon starts to leave, which empties the queues; nil for never
 }
 
-// Admitter admits queries by the shares of their plans. It implements
-// [ramp.Admitter] and is safe for concurrent use.
+// Admitter admits queries by the shares of their plans, and requests of tenants by
+// their ranks, see [TenantAdmitter]. It implements [ramp.Admitter] and is safe for
+// concurrent use.
 type Admitter struct {
 	config     Config
 	started    time.Time    // start of the incarnation
@@ -61,47 +63,75 @@
 	}
 }
 
+// request asks for admission to a service queue.
+type request struct {
+	service   string // name of the service queue
+	flow      flowKey
+	ranked    bool           // it is a tenant's, in a queue that orders flows by rank
+	allowance ramp.Allowance // of its plan
+	cost      int            // in sub-requests
+	deadline  time.Time      // time by which it must be answered
+	objective time.Duration  // latency objective
+	divisor   time.Duration  // it waits for at most one part in divisor of the objective; positive
+	priorWait time.Duration  // time that the caller spent on earlier tries
+}
+
 // Admit implements [ramp.Admitter].
 func (m *Admitter) Admit(
 	ctx context.Context, q ramp.Query, a ramp.Allowance, cost int,
 ) (release func(), err error) {
+	sq, admitted, err := m.admit(ctx, request{
+		service: q.Service, flow: flowKey{customer: q.Customer}, allowance: a, cost: cost, deadline: q.Deadline,
+		objective: a.Latency, divisor: waitDivisor,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() { m.release(sq, cost, admitted, signs{}) }, nil
+}
+
+// admit blocks until the request is admitted or refused. It returns the request's
+// queue and the time of the admission.
+func (m *Admitter) admit(ctx context.Context, r request) (*serviceQueue, time.Time, error) {
 	m.updateQuotas()
 	now := m.config.Clock.Now()
-	sq, w, err := m.admitOrQueue(q, a, cost, now)
+	sq, w, err := m.admitOrQueue(r, now)
 	if err != nil {
-		return nil, err
+		return nil, now, err
 	}
 	if w != nil {
-		if err := m.await(ctx, sq, q.Customer, w); err != nil {
-			return nil, err
+		if err := m.await(ctx, sq, r, w); err != nil {
+			return nil, now, err
 		}
 		now = m.config.Clock.Now()
 	}
-	return func() { m.release(sq, cost, now) }, nil
+	return sq, now, nil
 }
 
-// admitOrQueue admits the query at once, queues it, or refuses it. The waiter is
-// nil for a query that was admitted.
-func (m *Admitter) admitOrQueue(
-	q ramp.Query, a ramp.Allowance, cost int, now time.Time,
-) (*serviceQueue, *waiter, error) {
+// admitOrQueue admits the request at once, queues it, or refuses it. The waiter is
+// nil for a request that was admitted.
+func (m *Admitter) admitOrQueue(r request, now time.Time) (*serviceQueue, *waiter, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	sq := m.queueFor(q.Service)
-	f := m.flowFor(sq, q.Customer, a)
-	p := m.quotas[a.Plan].WithRefill(now).WithRequested(cost)
-	m.quotas[a.Plan] = p
-	if sq.waiting == 0 && p.hasTokens() && sq.fits(cost) && m.fits(cost) {
-		m.start(sq, f, cost)
+	queueFor := m.queueFor
+	if r.ranked {
+		queueFor = m.rankedQueueFor
+	}
+	sq := queueFor(r.service)
+	f := m.flowFor(sq, r)
+	p := m.quotas[r.allowance.Plan].WithRefill(now).WithRequested(r.cost)
+	m.quotas[r.allowance.Plan] = p
+	if sq.waiting == 0 && p.hasTokens() && sq.fits(r.cost) && m.fits(r.cost) {
+		m.start(sq, f, r.cost, now)
 		return sq, nil, nil
 	}
-	if !sq.fits(cost) {
+	if !sq.fits(r.cost) {
 		sq.limit = sq.limit.WithBlocked()
 	}
-	w := &waiter{cost: cost, queuedAt: now, maxWait: sq.queueTimeout(q, a, now), granted: make(chan struct{})}
-	load, share := m.expectedWait(sq, f, cost)
+	w := &waiter{cost: r.cost, queuedAt: now, maxWait: sq.queueTimeout(r, now), granted: make(chan struct{})}
+	load, share := m.expectedWait(sq, f, r.cost)
 	if m.queueFull(sq, f) || max(load, share) > w.maxWait || w.maxWait <= 0 {
-		return sq, nil, refusal(load, share)
+		return sq, nil, m.refuse(sq, f, w, load, share, now)
 	}
 	m.enqueue(sq, f, w)
 	m.dispatch(now)
@@ -114,10 +144,13 @@
 	return m.waiting >= maxWaiting || len(f.waiting) >= max(minFlowQueue, maxWaiting/max(1, len(sq.flows)))
 }
 
-// refusal returns the error for a query with the given expected waits: load is
+// refuse returns the error for a request with the given expected waits: load is
 // due to the service's limit, share to the plan's rate. The longer one gives the
 // reason and the retry delay.
-func refusal(load, share time.Duration) error {
+func (m *Admitter) refuse(sq *serviceQueue, f *flow, w *waiter, load, share time.Duration, now time.Time) error {
+	if sq.ranked {
+		return sq.refuseRanked(f, w, load, now)
+	}
 	refused := &ramp.RefusedError{Reason: ramp.ReasonLoad, Ran: ramp.NotRun, RetryAfter: max(load, share, minRetryAfter)}
 	if share > load {
 		refused.Reason = ramp.ReasonShare
@@ -125,38 +158,47 @@
 	return refused
 }
 
-// await blocks until the query is admitted. It dequeues and refuses the query
-// when its maximum wait has passed or ctx ends.
-func (m *Admitter) await(ctx context.Context, sq *serviceQueue, customer string, w *waiter) error {
+// await blocks until the request is admitted. It dequeues and refuses the request
+// when its maximum wait has passed, ctx ends or the daemon starts to leave.
+func (m *Admitter) await(ctx context.Context, sq *serviceQueue, r request, w *waiter) error {
 	expired := make(chan struct{})
 	stop := m.config.Clock.AfterFunc(w.maxWait, func() { close(expired) })
 	defer stop()
+	var reason ramp.Reason // of a refusal that is not due to load
 	select {
 	case <-w.granted:
 		return nil
 	case <-expired:
 	case <-ctx.Done():
+		reason = ramp.ReasonCaller
+	case <-m.config.Leaving:
+		reason = ramp.ReasonLeaving
 	}
+	now := m.config.Clock.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if w.admitted {
 		return nil
 	}
-	f := sq.flows[customer]
+	f := sq.flows[r.flow]
 	load, share := m.expectedWait(sq, f, w.cost)
 	m.dequeue(sq, f, w)
-	m.dispatch(m.config.Clock.Now())
-	return refusal(load, share)
+	m.dispatch(now)
+	if sq.ranked && reason != "" {
+		return &ramp.RefusedError{Reason: reason, Ran: ramp.NotRun, RetryAfter: spread(minRankedRetryAfter)}
+	}
+	return m.refuse(sq, f, w, load, share, now)
 }
 
-// release frees the capacity of an admitted query and dispatches queued queries.
-func (m *Admitter) release(sq *serviceQueue, cost int, admitted time.Time) {
+// release frees the capacity of an admitted request and dispatches queued requests.
+// Seen is what its attempts show of the room at the replicas.
+func (m *Admitter) release(sq *serviceQueue, cost int, admitted time.Time, seen signs) {
 	now := m.config.Clock.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.running -= cost
 	sq.end(cost, now.Sub(admitted))
-	sq.limit = sq.limit.WithAdjustment(now)
+	sq.limit = sq.limit.withSigns(seen).WithAdjustment(now)
 	m.dispatch(now)
 }
 
@@ -171,7 +213,7 @@
 			break
 		}
 		w := f.waiting[0]
-		m.start(sq, f, w.cost)
+		m.start(sq, f, w.cost, now)
 		w.admitted = true
 		close(w.granted)
 		m.dequeue(sq, f, w)
@@ -206,8 +248,11 @@
 
 // start counts a query of the flow as running, charges it to its plan's quota
 // and advances the virtual times and finish tags.
-func (m *Admitter) start(sq *serviceQueue, f *flow, cost int) {
+func (m *Admitter) start(sq *serviceQueue, f *flow, cost int, now time.Time) {
 	m.running += cost
+	if sq.ranked {
+		f.served, sq.served = f.served.withDecision(true, now), sq.served.withDecision(true, now)
+	}
 	sq.begin(cost)
 	m.quotas[f.plan] = m.quotas[f.plan].WithAdmitted(cost)
 	m.virtualTime = max(m.virtualTime, sq.finishTag)
@@ -248,23 +293,33 @@
 func (m *Admitter) fits(cost int) bool { return m.running == 0 || m.running+cost <= m.config.Capacity }
 
 func (m *Admitter) queueFor(service string) *serviceQueue {
+	return m.queueWith(service, false, NewLimit(min(m.config.Floor, m.config.Capacity), m.config.Capacity))
+}
+
+// rankedQueueFor returns the queue of a pool of services, whose flows are ordered by rank.
+func (m *Admitter) rankedQueueFor(pool string) *serviceQueue {
+	return m.queueWith(pool, true, NewRoomLimit(min(m.config.Floor, m.config.Capacity), m.config.Capacity))
+}
+
+// queueWith returns the service's queue, and creates it with the limit if needed.
+func (m *Admitter) queueWith(service string, ranked bool, limit Limit) *serviceQueue {
 	sq, ok := m.queues[service]
 	if !ok {
-		limit := NewLimit(min(m.config.Floor, m.config.Capacity), m.config.Capacity)
-		sq = &serviceQueue{service: service, flows: make(map[string]*flow), limit: limit}
+		sq = &serviceQueue{service: service, ranked: ranked, flows: make(map[flowKey]*flow), limit: limit}
 		m.queues[service] = sq
 		m.queueOrder = append(m.queueOrder, sq)
 	}
 	return sq
 }
 
-// flowFor returns the customer's flow and creates it if needed. A customer whose
+// flowFor returns the request's flow and creates it if needed. A customer whose
 // plan was changed moves to the new plan once its flow has no queued query.
-func (m *Admitter) flowFor(sq *serviceQueue, customer string, a ramp.Allowance) *flow {
-	f, ok := sq.flows[customer]
+func (m *Admitter) flowFor(sq *serviceQueue, r request) *flow {
+	a := r.allowance
+	f, ok := sq.flows[r.flow]
 	if !ok {
-		f = &flow{customer: customer, plan: a.Plan}
-		sq.flows[customer] = f
+		f = &flow{flowKey: r.flow, ranked: r.ranked, plan: a.Plan}
+		sq.flows[r.flow] = f
 	}
 	if len(f.waiting) == 0 {
 		f.plan = a.Plan
@@ -364,7 +419,8 @@
 }
 
 // evictIdle evicts peers whose counters are older than 10 times staleAfter, and
-// flows without queries whose finish tag the virtual time has reached. It returns
+// flows without queries whose finish tag the virtual time has reached and whose
+// served share no longer matters. It returns
 // the peers whose counters are not stale.
 func (m *Admitter) evictIdle(now time.Time) map[string]*peerUsage {
 	fresh := make(map[string]*peerUsage, len(m.peers))
@@ -377,8 +433,8 @@
 		}
 	}
 	for _, sq := range m.queueOrder {
-		maps.DeleteFunc(sq.flows, func(_ string, f *flow) bool {
-			return len(f.waiting) == 0 && f.finishTag <= sq.virtualTime
+		maps.DeleteFunc(sq.flows, func(_ flowKey, f *flow) bool {
+			return len(f.waiting) == 0 && f.finishTag <= sq.virtualTime && f.served.forgotten(now)
 		})
 	}
 	return fresh
@@ -423,3 +479,13 @@
 	}
 	return s
 }
+
+// runningIn returns the number of sub-requests of a service in progress.
+func (m *Admitter) runningIn(service string) int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if sq, ok := m.queues[service]; ok {
+		return sq.running
+	}
+	return 0
+}
--- a/plan/queue.go
+++ b/plan/queue.go
@@ -1,10 +1,6 @@
 package plan
 
-import (
-	"time"
-
-	ramp "sycamoreramp.example/sycamoreramp"
-)
+import "time"
 
 // Bounds of the queues.
 const (
@@ -23,13 +19,21 @@
 	admitted bool          // granted is closed; guarded by the admitter's lock
 }
 
+// flowKey identifies a flow among those of a service queue. It is an immutable value.
+type flowKey struct {
+	customer string
+	rank     int // of a tenant's requests; 0 for queries
+}
+
 // flow is the queue of one customer for one service. The flows of a service are
 // scheduled by start-time fair queueing: a query's start tag is the finish tag
 // of its predecessor in the flow, or the virtual time if that is later; its
 // finish tag is the start tag plus its cost divided by the flow's weight; the
 // query with the lowest start tag is served first.
 type flow struct {
-	customer  string
+	flowKey
+	ranked    bool // the flow is a tenant's
+	served    servedShare
 	plan      string
 	finishTag float64   // finish tag of the query that was admitted last
 	waiting   []*waiter // in order of arrival
@@ -62,8 +66,10 @@
 // of one is the sum of the weights of its backlogged flows.
 type serviceQueue struct {
 	service     string
-	flows       map[string]*flow // by customer
-	finishTag   float64          // finish tag of the query that was admitted last, among the service queues
+	ranked      bool // flows are ordered by rank, and the limit is one by room
+	flows       map[flowKey]*flow
+	served      servedShare // of all flows, if they are ranked
+	finishTag   float64     // finish tag of the query that was admitted last, among the service queues
 	limit       Limit
 	running     int           // sub-requests admitted and not released
 	waiting     int           // queries in all flows
@@ -101,8 +107,11 @@
 }
 
 // flowWeight returns the weight of a flow: its plan's weight on this daemon,
-// divided by the number of the plan's backlogged flows.
+// divided by the number of the plan's backlogged flows. Tenants have equal weights.
 func (m *Admitter) flowWeight(f *flow) float64 {
+	if f.ranked {
+		return 1
+	}
 	p := m.quotas[f.plan]
 	return max(p.weight, 1.0/maxWeightRatio) / float64(max(1, m.backloggedFlows[f.plan]))
 }
@@ -147,13 +156,22 @@
 		if len(f.waiting) == 0 || !m.quotas[f.plan].hasTokens() {
 			continue
 		}
-		if first == nil || startsBefore(f, first, sq.virtualTime) {
+		if first == nil || sq.precedes(f, first) {
 			first = f
 		}
 	}
 	return first
 }
 
+// precedes orders backlogged flows by urgency, and those of equal urgency by
+// startsBefore.
+func (sq *serviceQueue) precedes(a, b *flow) bool {
+	if x, y := sq.urgency(a), sq.urgency(b); x != y {
+		return x < y
+	}
+	return startsBefore(a, b, sq.virtualTime)
+}
+
 // startsBefore orders backlogged flows by start tag, then by the age of their
 // first query, then by customer.
 func startsBefore(a, b *flow, virtualTime float64) bool {
@@ -172,6 +190,9 @@
 // throughput. It is 0 for a flow without a backlog, so that a flow's first query
 // always gets a chance. Share is the wait for tokens of the plan alone.
 func (m *Admitter) expectedWait(sq *serviceQueue, f *flow, cost int) (load, share time.Duration) {
+	if sq.ranked {
+		return sq.expectedRankedWait(f), 0
+	}
 	share = m.quotas[f.plan].tokenDelay(float64(m.backlogCost[f.plan]))
 	rate := sq.throughput()
 	if rate > 0 && (sq.waiting > 0 || !sq.fits(cost)) {
@@ -181,10 +202,15 @@
 	return load, share
 }
 
-// queueTimeout returns how long the query may be queued: one part in waitDivisor of
-// its plan's latency objective and of the time to its deadline, and no longer
-// than leaves it the mean hold time of the service's queries.
-func (sq *serviceQueue) queueTimeout(q ramp.Query, a ramp.Allowance, now time.Time) time.Duration {
-	left := q.Deadline.Sub(now)
-	return min(a.Latency/waitDivisor, left/waitDivisor, left-sq.meanHold)
+// queueTimeout returns how long the request may be queued: one part of its latency
+// objective and of the time to its deadline, and no longer than leaves it the mean
+// hold time of the service's requests.
+func (sq *serviceQueue) queueTimeout(r request, now time.Time) time.Duration {
+	left := r.deadline.Sub(now)
+	longest := min(r.objective/r.divisor, left/waitDivisor, left-sq.meanHold)
+	// A tenant's request that is late however soon it starts is still worth a wait.
+	if spare := r.objective - r.priorWait - sq.meanHold; r.ranked && spare > 0 {
+		longest = min(longest, spare)
+	}
+	return longest
 }
--- a/query/execution.go
+++ b/query/execution.go
@@ -273,9 +273,7 @@
 		e.giveUp(index)
 		return
 	}
-	instance, pick, ok := e.relay.Picker.Pick(ramp.PickRequest{
-		Service: state.service, Tried: state.attempts, Limit: e.connectionShare(state.service), Near: e.bound,
-	})
+	instance, pick, ok := e.relay.Picker.Pick(e.pickRequest(state, kind))
 	if !ok {
 		if kind == ramp.Hedge || e.bound && !e.insists || !e.retryForCapacity(index, kind, pick) {
 			if pick.Throttled > 0 {
@@ -295,6 +293,29 @@
 	e.send(index, a, instance)
 }
 
+// pickRequest returns what the picker is asked for an attempt at a part. The attempts of
+// tenants' requests are ordered.
+func (e *execution) pickRequest(state part, kind ramp.AttemptKind) ramp.PickRequest {
+	request := ramp.PickRequest{
+		Service: state.service, Tried: state.attempts, Limit: e.connectionShare(state.service), Near: e.bound,
+	}
+	if e.message.Tenant != "" {
+		request.Ordered, request.Priority = true, e.message.Priority
+		request.Repeat = kind != ramp.First || e.repeats
+		request.Holders = e.holders(state.service)
+	}
+	return request
+}
+
+// holders returns the number of daemons that send requests to the replicas of the
+// service: this one alone if it is the delegate of the service in a grouped fleet.
+func (e *execution) holders(service string) int {
+	if e.grouped && (e.bound || e.relay.Delegates.Select(e.relay.Domain, []string{service})[0].Self) {
+		return 1
+	}
+	return max(1, e.relay.FleetSize())
+}
+
 // retryForCapacity submits an attempt again, for a part without a pending attempt
 // whose replicas are all saturated or throttled: after capacityRetryDelay, or
 // when the first throttled replica accepts requests. It reports false when the
--- a/relay.go
+++ b/relay.go
@@ -32,6 +32,14 @@
 	Tried   []Attempt // earlier attempts, whose replicas are excluded; never modified
 	Limit   int       // replicas with at least that many attempts in flight are excluded
 	Near    bool      // only replicas in the daemon's own failure domain
+
+	// Ordered says that attempts are ordered by Priority, and first ones go before
+	// repeats: replicas are excluded that have too many attempts of this daemon in flight
+	// for one of its kind, see Holders.
+	Ordered  bool
+	Priority int  // rank; 0 is the highest
+	Repeat   bool // it is a retry or a hedge
+	Holders  int  // daemons that send requests to the replicas of the service; at least 1
 }
 
 // Health is the health of a replica when it was picked.
--- /dev/null
+++ b/replica/concurrency.go
@@ -0,0 +1,84 @@
+package replica
+
+import (
+	"math"
+
+	ramp "sycamoreramp.example/sycamoreramp"
+)
+
+// sharedFactor is the multiple of a replica's capacity that is divided among the daemons
+// that send to it. It exceeds 1 since their loads differ.
+const sharedFactor = 2
+
+// concurrency bounds how many attempts of this daemon may be in flight at one replica. It
+// handles replicas with more requests than they run at once: any attempt may fill their
+// slots, but only urgent first attempts may enter their own queues. So an urgent request
+// waits for requests that run, but not for others that wait, and repeats yield to first
+// attempts. It is an immutable value.
+type concurrency struct {
+	connections int  // bound on the connections of this daemon; at least 1
+	ordered     bool // the bounds below hold too
+	capacity    int  // requests that the replica runs at once; 0 if unknown
+	holders     int  // daemons that send to the replica; at least 1
+	rank        int
+	repeat      bool
+}
+
+// concurrencyFor returns the bound for an attempt at a replica of the given capacity.
+func concurrencyFor(r ramp.PickRequest, capacity int) concurrency {
+	return concurrency{
+		connections: r.Limit, ordered: r.Ordered, capacity: capacity, holders: max(1, r.Holders), rank: r.Priority,
+		repeat: r.Repeat,
+	}
+}
+
+// limit returns the number of attempts in flight from which the replica gets no further
+// one of this kind.
+func (c concurrency) limit() int {
+	if !c.ordered || c.capacity <= 0 {
+		return c.connections
+	}
+	limit := c.base()
+	switch {
+	case c.repeat:
+	case c.rank <= 0:
+		limit += c.base()
+	case c.rank == 1:
+		limit += part(c.base(), 2)
+	default:
+		limit += part(c.base(), 4)
+	}
+	return min(limit, c.connections)
+}
+
+// base returns the attempts that this daemon may have in flight whatever their kind: the
+// capacity if it alone sends to the replica, and otherwise its share of sharedFactor
+// times that. It is at least half of the capacity, since all callers may use one daemon.
+func (c concurrency) base() int {
+	if c.holders == 1 {
+		return c.capacity
+	}
+	return min(c.capacity, max(part(sharedFactor*c.capacity, c.holders), part(c.capacity, 2)))
+}
+
+// part returns one part in divisor of n, rounded up.
+func part(n, divisor int) int { return int(math.Ceil(float64(n) / float64(divisor))) }
+
+// Capacity returns how many requests the replicas of the service run at once that may get
+// requests, 0 if one of them does not state it, and whether there are any.
+func (p *Picker) Capacity(service string) (slots int, usable bool) {
+	now := p.clock.Now()
+	known := true
+	for _, r := range p.instances.ofService(service) {
+		if _, ok := p.health(r, p.statsOf(r), now); !ok {
+			continue
+		}
+		usable = true
+		known = known && r.Capacity > 0
+		slots += r.Capacity
+	}
+	if !known {
+		slots = 0
+	}
+	return slots, usable
+}
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -180,7 +180,7 @@
 			info = info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= request.Limit {
+		if s.InFlight >= concurrencyFor(request, r.Capacity).limit() {
 			info.Saturated++
 			continue
 		}
