--- a/replica/pick.go
+++ b/replica/pick.go
@@ -220,9 +220,9 @@
 		if !ok || wasTried(request.Tried, r.ID) {
 			continue
 		}
-		to, limit := &usual, request.Limit
+		to, bound := &usual, request
 		if share := evacuations.share(r.Domain, over, now); share < 1 {
-			limit = max(1, int(share*float64(limit)))
+			bound.Limit = max(1, int(share*float64(request.Limit)))
 			if draw >= share {
 				to = &withheld
 			}
@@ -231,7 +231,7 @@
 			to.info = to.info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= limit {
+		if s.InFlight >= concurrencyFor(bound, r.Capacity).limit() {
 			to.info.Saturated++
 			continue
 		}
