--- a/fleet/delegates.go
+++ b/fleet/delegates.go
@@ -103,6 +103,7 @@
 // Report implements [ramp.DelegateSelector].
 func (h *DelegateSelector) Report(d ramp.Daemon, inTime bool) {
 	now := h.clock.Now()
+	h.members.RecordCall(d.Incarnation, inTime)
 	if inTime {
 		h.failed.Delete(d.Incarnation)
 		h.members.MarkSeen(d)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -37,6 +37,9 @@
 	lastSeen     time.Time   // last time that the store listed the member or the member sent a message
 	unresponsive bool        // whether a call to the member has failed since lastSeen
 	failedAt     time.Time   // last time that a call to the member failed; zero for never
+	silentAt     time.Time   // last time that gossip with the member failed since lastSeen; zero for none
+	calledAt     time.Time   // last call of this daemon to the member that ended; zero for never
+	answered     bool        // the member answered that call
 }
 
 // WithDaemon returns the member as seen now.
@@ -45,6 +48,7 @@
 	m.daemon = d
 	m.lastSeen = now
 	m.unresponsive = false
+	m.silentAt = time.Time{}
 	return m
 }
 
@@ -71,15 +75,20 @@
 // gossip, and when each of them was last seen.
 type Members struct {
 	clock   ramp.Clock
-	self    string                      // incarnation of this daemon
+	self    string // incarnation of this daemon
+	created time.Time
 	answers atomic.Uint64               // number of answers about addresses so far
 	members *ramp.Table[string, member] // by incarnation
+
+	// changedAt is the time from created to when a member was last added or removed, or
+	// began to leave, in ns; 0 for never.
+	changedAt atomic.Int64
 }
 
 // NewMembers returns Members without any daemon.
 func NewMembers(self ramp.Daemon, clock ramp.Clock) *Members {
 	return &Members{
-		clock: clock, self: self.Incarnation,
+		clock: clock, self: self.Incarnation, created: clock.Now(),
 		members: ramp.NewTable[string, member](ramp.RankDaemons),
 	}
 }
@@ -92,10 +101,11 @@
 	for _, d := range daemons {
 		listed[d.Incarnation] = true
 		m.members.Update(d.Incarnation, func(old member) member {
+			m.recordChange(old, d, now)
 			return old.WithDaemon(d, now)
 		})
 	}
-	m.members.DeleteFunc(func(incarnation string, _ member) bool { return !listed[incarnation] })
+	m.deleteOthers(listed, now)
 }
 
 // Update sets the members to the given daemons without marking known ones as
@@ -106,6 +116,7 @@
 	for _, d := range daemons {
 		present[d.Incarnation] = true
 		m.members.Update(d.Incarnation, func(old member) member {
+			m.recordChange(old, d, now)
 			if old.lastSeen.IsZero() {
 				return old.WithDaemon(d, now)
 			}
@@ -114,7 +125,24 @@
 			return old
 		})
 	}
-	m.members.DeleteFunc(func(incarnation string, _ member) bool { return !present[incarnation] })
+	m.deleteOthers(present, now)
+}
+
+// deleteOthers deletes the members that are not in the set of incarnations.
+func (m *Members) deleteOthers(kept map[string]bool, now time.Time) {
+	m.members.DeleteFunc(func(incarnation string, _ member) bool {
+		if !kept[incarnation] {
+			m.changedAt.Store(int64(now.Sub(m.created)))
+		}
+		return !kept[incarnation]
+	})
+}
+
+// recordChange records the time if the daemon is new or begins to leave.
+func (m *Members) recordChange(old member, d ramp.Daemon, now time.Time) {
+	if old.lastSeen.IsZero() || d.Leaving && !old.daemon.Leaving {
+		m.changedAt.Store(int64(now.Sub(m.created)))
+	}
 }
 
 // MarkSeen records a message from a daemon: that it is alive, and whether it
@@ -122,6 +150,7 @@
 func (m *Members) MarkSeen(d ramp.Daemon) {
 	now := m.clock.Now()
 	m.members.UpdateExisting(d.Incarnation, func(old member) member {
+		m.recordChange(old, d, now)
 		known := old.daemon
 		known.Leaving = known.Leaving || d.Leaving
 		return old.WithDaemon(known, now)
@@ -135,6 +164,25 @@
 	m.members.UpdateExisting(incarnation, func(old member) member { return old.WithUnresponsive(now) })
 }
 
+// MarkSilent records that gossip with a member failed. Unlike a call that was merely late,
+// this makes other daemons take its place in [Members.Ranked].
+func (m *Members) MarkSilent(incarnation string) {
+	now := m.clock.Now()
+	m.members.UpdateExisting(incarnation, func(old member) member {
+		old.silentAt = now
+		return old.WithUnresponsive(now)
+	})
+}
+
+// RecordCall records whether a member answered a call of this daemon.
+func (m *Members) RecordCall(incarnation string, answered bool) {
+	now := m.clock.Now()
+	m.members.UpdateExisting(incarnation, func(old member) member {
+		old.calledAt, old.answered = now, answered
+		return old
+	})
+}
+
 // Unresponsive returns the members that did not answer since they were last seen,
 // sorted by id.
 func (m *Members) Unresponsive() []ramp.Daemon {
--- a/fleet/observer_gossip.go
+++ b/fleet/observer_gossip.go
@@ -111,8 +111,9 @@
 	if ctx.Err() == nil || err == nil {
 		o.logReachability("daemon "+to.PeerAddress, err)
 	}
+	o.Members.RecordCall(to.Incarnation, err == nil)
 	if err != nil {
-		o.Members.MarkUnresponsive(to.Incarnation)
+		o.Members.MarkSilent(to.Incarnation)
 		return
 	}
 	o.markSeen(reply)
--- a/tenant.go
+++ b/tenant.go
@@ -135,3 +135,12 @@
 	// objective at most, until the message is admitted or ctx ends.
 	Admit(ctx context.Context, r AdmissionRequest) (release func(RelayResult, error), err error)
 }
+
+// TenantsByName returns the tenants that have a key.
+func (r Routing) TenantsByName() map[string]Tenant {
+	byName := make(map[string]Tenant)
+	for _, t := range r.tenants {
+		byName[t.Name] = t
+	}
+	return byName
+}
