peer, daemon: ask other daemons for tokens of allowances

The service Allowances carries requests for tokens between daemons. An edge daemon whose deployment states a window for quotas limits the tenants that have an allowance, answers 429 with Retry-After when it is used up, counts the outcomes by tenant, and serves its accounts to operators under /allowances.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -19,6 +19,7 @@
 	"sycamoreramp.example/sycamoreramp/fleet"
 	"sycamoreramp.example/sycamoreramp/operator"
 	"sycamoreramp.example/sycamoreramp/peer"
+	"sycamoreramp.example/sycamoreramp/plan"
 	"sycamoreramp.example/sycamoreramp/platform"
 	"sycamoreramp.example/sycamoreramp/query"
 	"sycamoreramp.example/sycamoreramp/replica"
@@ -84,7 +85,8 @@
 	burnRates   *burn.Recorder
 	idleCloser  *idleCloser
 	pauses      *pauseDetector
-	front       *http.Server // serves callers; one of servers
+	allowances  *plan.AllowanceLimiter // nil if the deployment states no bounds on the requests of tenants
+	front       *http.Server           // serves callers; one of servers
 	servers     []server
 	leaving     chan struct{}             // closed when the daemon starts to leave
 	answerBy    atomic.Pointer[time.Time] // when answers must have been sent; set before leaving is closed
@@ -159,6 +161,11 @@
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
 	e.peerServer.WithCollectHandler(relay.Init())
+	if d.Quota.Window > 0 {
+		e.allowances = e.newAllowances()
+		e.peerServer.WithTokenHandler(e.allowances)
+		relay.Allowances = e.allowances
+	}
 	front := platform.CallerHandler{Messages: relay, Memory: memory, Routing: e.routes, Leaving: e.isLeaving}
 	e.front = e.addServer(d.CallerAddress, front)
 	e.front.ConnState = e.idleCloser.Observe
@@ -173,10 +180,25 @@
 		mux.HandleFunc("GET "+metricsPath, e.metrics.EdgeHandler(e.gauges))
 		mux.HandleFunc("GET /burn", operator.BurnHandler(e.burnRates.Report))
 		mux.HandleFunc("GET /belief", operator.ViewHandler(e.view))
+		if e.allowances != nil {
+			mux.HandleFunc("GET /allowances", operator.AllowanceHandler(e.allowances.Views))
+		}
 		e.addServer(metricsAddress, mux)
 	}
 }
 
+// newAllowances returns the limiter of tenants' allowances.
+func (e *Edge) newAllowances() *plan.AllowanceLimiter {
+	return plan.NewAllowanceLimiter(plan.AllowanceConfig{
+		Clock: e.clock, Log: e.log, Self: e.self, Bounds: e.deployment.Quota, Ranker: e.members, Source: e.peers,
+		Routes: e.routes, FleetSize: e.observer.FleetSize, Pauses: e.pauses.Pauses, Observe: e.metrics.ObserveAllowance,
+		InTouch: func() bool {
+			age, known := e.observer.ConfirmedAge()
+			return known && age <= e.deployment.ApplyBound
+		},
+	})
+}
+
 // addServer adds a server that Run starts at the address, and returns it.
 func (e *Edge) addServer(address string, handler http.Handler) *http.Server {
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -26,6 +26,7 @@
 	tagOutcome = "outcome"
 	tagRoute   = "route"
 	tagService = "service"
+	tagTenant  = "tenant"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms' buckets.
@@ -103,6 +104,13 @@
 	m.scope.Tagged(map[string]string{tagService: m.boundedTag(service)}).Counter("withheld").Inc(1)
 }
 
+// ObserveAllowance counts a request of a tenant for a token of its allowance.
+func (m *metrics) ObserveAllowance(tenant string, outcome plan.AllowanceOutcome) {
+	m.scope.Tagged(map[string]string{
+		tagTenant: m.boundedTag(tenant), tagOutcome: string(outcome),
+	}).Counter("allowances").Inc(1)
+}
+
 // queryOutcome returns "whole", "partial", or the reason of a refusal.
 func queryOutcome(answer ramp.Answer, err error) string {
 	var refused *ramp.RefusedError
--- a/daemon/pause.go
+++ b/daemon/pause.go
@@ -44,6 +44,7 @@
 	log       *slog.Logger
 	aliveAt   atomic.Int64 // uptime of the last sign of life, in ns
 	resumedAt atomic.Int64 // uptime at the end of the last pause, in ns; 0 for none
+	pauses    atomic.Uint64
 }
 
 func newPauseDetector(clock ramp.Clock, boot ramp.BootClock, log *slog.Logger) *pauseDetector {
@@ -68,8 +69,16 @@
 	alive := p.aliveAt.Load()
 	if pause := now - time.Duration(alive); pause >= minPause && p.aliveAt.CompareAndSwap(alive, int64(now)) {
 		p.resumedAt.Store(int64(now))
+		p.pauses.Add(1)
 		p.log.Warn("process was paused", "pause", pause)
 	}
 	resumed := p.resumedAt.Load()
 	return resumed > 0 && now-time.Duration(resumed) < resumeTime
 }
+
+// Pauses returns how often the process was paused so far, a pause included that has just
+// ended.
+func (p *pauseDetector) Pauses() uint64 {
+	p.Resumed()
+	return p.pauses.Load()
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -33,7 +33,7 @@
 var errCredential = errors.New("wrong credential for calls between daemons")
 
 // Client calls other daemons over pooled connections. It implements [ramp.Peers],
-// [ramp.Collector] and [ramp.Handover], and never retries a call.
+// [ramp.Collector], [ramp.Handover] and [ramp.TokenSource], and never retries a call.
 type Client struct {
 	clock      ramp.Clock
 	credential string // shared by all daemons
@@ -96,6 +96,7 @@
 	clock          ramp.Clock
 	credential     string
 	collectHandler ramp.CollectHandler // nil if the server serves no collect requests
+	tokenHandler   ramp.TokenHandler   // nil if the server keeps no accounts of tenants
 	calls          callCounter
 }
 
@@ -121,6 +122,11 @@
 			return err
 		}
 	}
+	if s.tokenHandler != nil {
+		if err := wire.DRPCRegisterAllowances(mux, s); err != nil {
+			return err
+		}
+	}
 	server := drpcserver.NewWithOptions(s.calls.wrap(mux), drpcserver.Options{Manager: managerOptions})
 	return server.Serve(ctx, listener)
 }
