replica: balance by reported load where several daemons send

Many daemons know the same old loads of replicas. If each picks the least loaded one, they all pick the same one until the next report.

Where replicas report their load and several daemons send to them, the picker now draws a replica at random, with weights from the expected waits and the age of the reports (Dahlin's interpretation of stale load), the speed of the replicas, and this daemon's own attempts since the reports. The draws of one daemon are spread evenly. Without a reported load, or where this daemon alone sends, the choice is unchanged.

--- a/query/execution.go
+++ b/query/execution.go
@@ -275,6 +275,7 @@
 	}
 	instance, pick, ok := e.relay.Picker.Pick(ramp.PickRequest{
 		Service: state.service, Tried: state.attempts, Limit: e.connectionShare(state.service), Near: e.bound,
+		Senders: e.senders(), Latency: e.medianLatency,
 	})
 	if !ok {
 		if kind == ramp.Hedge || e.bound && !e.insists || !e.retryForCapacity(index, kind, pick) {
@@ -358,6 +359,15 @@
 	return nil
 }
 
+// senders returns the number of daemons that send to the replicas directly, or 0 where the
+// parts go through delegates, few of which send to one replica.
+func (e *execution) senders() int {
+	if e.grouped {
+		return 0
+	}
+	return e.relay.FleetSize()
+}
+
 // connectionShare returns this daemon's share of the connections to each
 // replica of the service. It is at least 1. In a grouped fleet the replicas of a
 // gathered route are used by the daemons that collect its parts, and by others only
--- a/relay.go
+++ b/relay.go
@@ -32,6 +32,10 @@
 	Tried   []Attempt // earlier attempts, whose replicas are excluded; never modified
 	Limit   int       // replicas with at least that many attempts in flight are excluded
 	Near    bool      // only replicas in the daemon's own failure domain
+	// Senders is the number of daemons that send requests to the replicas of the service,
+	// this one included. It is 0 where the load that replicas report is not to be used.
+	Senders int
+	Latency time.Duration // median latency of replies on the route; 0 if unknown
 }
 
 // Health is the health of a replica when it was picked.
@@ -53,9 +57,17 @@
 	Saturated       int           // number of replicas at their limit of attempts in flight
 	Throttled       int           // number of replicas that accept no request of this daemon yet
 	Delay           time.Duration // until the first of the throttled replicas accepts one; 0 if there are none
-	ExpectedLatency time.Duration // until a reply, with penalties; the lowest among candidates of equal health
+	ExpectedLatency time.Duration // until a reply, by this daemon's own attempts and with penalties
 	EntryAge        time.Duration // age of the replica's entry
 	StartedMillis   int64         // start of the replica, as in its [Instance]
+	Load            *ReplicaLoad  // the reported load by which it was picked; nil for none; never modified
+	LoadAge         time.Duration // age of Load; 0 for none
+}
+
+// WithLoad returns the information with the reported load by which the replica was picked.
+func (p PickInfo) WithLoad(l ReplicaLoad, age time.Duration) PickInfo {
+	p.Load, p.LoadAge = &l, age
+	return p
 }
 
 // WithThrottled returns the information with one more replica that accepts no request of
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -59,6 +59,8 @@
 	failureRatioAt time.Time // when failureRatio was last updated
 	displacedAt    time.Time // when another replica last answered at the address; zero for never
 	loggedAt       time.Time // when a change of the signals was last logged; zero for never
+
+	sentSinceSignals int // attempts placed since the signals came, those that ended included
 }
 
 // forStart returns the statistics if they belong to the given start of the replica, and
@@ -77,6 +79,7 @@
 	if s.InFlight == 0 {
 		s.lastProgress = now
 	}
+	s.sentSinceSignals++
 	s.Load = s.WithPlaced()
 	s.condition = s.withRequest(now)
 	return s
@@ -143,6 +146,7 @@
 	instances *Instances
 	shares    ramp.LimitSharer
 	stats     *ramp.Table[string, replicaStats] // by replica id
+	points    *ramp.Table[string, points]       // by service whose replicas report their load
 }
 
 // NewPicker returns a picker without statistics. Domain is this daemon's own failure
@@ -152,7 +156,8 @@
 ) *Picker {
 	return &Picker{
 		clock: clock, log: log, domain: domain, instances: instances, shares: shares,
-		stats: ramp.NewTable[string, replicaStats](ramp.RankReplicas),
+		stats:  ramp.NewTable[string, replicaStats](ramp.RankReplicas),
+		points: ramp.NewTable[string, points](ramp.RankReplicas),
 	}
 }
 
@@ -166,6 +171,7 @@
 	now := p.clock.Now()
 	var best registration
 	var info ramp.PickInfo
+	var options []option // only where several daemons send to the replicas
 	shortest := 0.0
 	for _, r := range p.instances.ofService(request.Service) {
 		if request.Near && r.Domain != p.domain {
@@ -190,10 +196,19 @@
 			best, info.Health, shortest = r, health, expected
 		}
 		info.Candidates++
+		if request.Senders > 1 {
+			options = append(options, option{registration: r, stats: s, health: health, expected: expected})
+		}
 	}
 	if info.Candidates == 0 {
 		return ramp.Instance{}, info, false
 	}
+	if i, load, ok := p.balanced(request, options, info.Health, now); ok {
+		best, shortest = options[i].registration, options[i].expected
+		if load != nil {
+			info = info.WithLoad(*load, options[i].stats.signalsAge(now))
+		}
+	}
 	info.ExpectedLatency, info.EntryAge = time.Duration(shortest), now.Sub(best.readAt)
 	info.StartedMillis = best.StartedMillis
 	p.stats.Update(best.ID, func(s replicaStats) replicaStats { return s.withAttempt(best.Instance, now) })
@@ -233,20 +248,27 @@
 // expectedLatency returns the expected time until a reply in nanoseconds, with
 // penalties and jitter.
 func (p *Picker) expectedLatency(r registration, s replicaStats, now time.Time) float64 {
-	queue := float64(s.InFlight + 1)
-	if r.Domain != p.domain {
-		queue += crossDomainPenalty
-	}
+	queue := float64(s.InFlight+1) + p.queuePenalty(r, now)
 	if s.stalled(now) {
 		queue += stalledPenalty
 	}
-	if r.WarmupLeft > 0 && now.Sub(r.readAt) < r.WarmupLeft {
-		queue += warmupPenalty
-	}
 	return s.expectedLatencyAt(queue, now) *
 		(1 + failurePenalty*s.currentFailureRatio(now)) * (1 + latencyJitter*rand.Float64())
 }
 
+// queuePenalty returns the penalty of the replica by its place and its start, as additional
+// requests in its queue.
+func (p *Picker) queuePenalty(r registration, now time.Time) float64 {
+	penalty := 0.0
+	if r.Domain != p.domain {
+		penalty += crossDomainPenalty
+	}
+	if r.WarmupLeft > 0 && now.Sub(r.readAt) < r.WarmupLeft {
+		penalty += warmupPenalty
+	}
+	return penalty
+}
+
 // Done implements [ramp.Picker].
 func (p *Picker) Done(a ramp.Attempt) {
 	now := p.clock.Now()
@@ -266,7 +288,7 @@
 		if changed = s.signals != *a.Signals && now.Sub(s.loggedAt) >= signalsLogInterval; changed {
 			s.loggedAt = now
 		}
-		s.condition = s.withSignals(*a.Signals, share, now)
+		s.condition, s.sentSinceSignals = s.withSignals(*a.Signals, share, now), 0
 		return s
 	})
 	if changed {
