query: show the reported load in the account of an attempt

An operator could not tell by which reported load a replica was picked. The account of an attempt now ends with the reported load and its age where these were used; elsewhere its format is unchanged. The histogram sycamoreramp_load_age has the ages by service. TestRelayLoadLog records both formats.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -84,6 +84,10 @@
 	if a.Signals != nil {
 		m.countSignals(a.Shard.ID, *a.Signals)
 	}
+	if a.Pick.Load != nil {
+		m.scope.Tagged(map[string]string{tagService: m.boundedTag(a.Shard.ID)}).
+			Histogram("load_age", latencyBuckets).RecordDuration(a.Pick.LoadAge)
+	}
 }
 
 // countSignals counts what a replica of the service said of itself.
--- a/query/relay.go
+++ b/query/relay.go
@@ -242,7 +242,9 @@
 // retries and hedges, without those that a delegate gave back unsent, as
 // kind/service/replica/start/elapsed/outcome. What the picker knew of the replica
 // follows: health, number of candidates, expected latency and age of the entry, or
-// a dash if no picker was asked. Times are in milliseconds.
+// a dash if no picker was asked. Where the load that the replica reported was used, it
+// follows as running,waiting,slots,slowdown with the slowdown in percent, and its age.
+// Times are in milliseconds.
 func formatAttempts(attempts []ramp.Attempt) string {
 	var b strings.Builder
 	written := 0
@@ -266,6 +268,10 @@
 		}
 		if p := a.Pick; p.Candidates > 0 {
 			fmt.Fprintf(&b, "%s/%d/%s/%s", p.Health, p.Candidates, formatMillis(p.ExpectedLatency), formatMillis(p.EntryAge))
+			if p.Load != nil {
+				fmt.Fprintf(&b, "/%d,%d,%d,%.0f/%s", p.Load.Running, p.Load.Waiting, p.Load.Slots, 100*p.Load.Slowdown,
+					formatMillis(p.LoadAge))
+			}
 		} else {
 			b.WriteByte('-')
 		}
--- a/query/relay_test.go
+++ b/query/relay_test.go
@@ -246,6 +246,35 @@
 	golden.Check(t, "relaylog", expectedLatency.ReplaceAllString(b.String(), "$1/$2/EXPECTED/"))
 }
 
+// TestRelayLoadLog records the account of an attempt that was placed by the load that the
+// replica reported. Without its load and its age an operator cannot tell why it was chosen.
+func TestRelayLoadLog(t *testing.T) {
+	var b strings.Builder
+	for _, daemons := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			load := ramp.ReplicaLoad{Running: 3, Waiting: 2, Slots: 8, Slowdown: 1.5}
+			relay := newRelay(script{"a-1": {delay: ms, outcome: ramp.Unreachable}}, single(false))
+			relay.Exchanger = speaking{relay.Exchanger.(script), map[string]ramp.Signals{"a-1": {Load: &load}}}
+			relay.FleetSize = func() int { return daemons }
+			fmt.Fprintf(&b, "%d daemons:\n", daemons)
+			relay.Log = slog.New(slog.NewTextHandler(&b, &slog.HandlerOptions{
+				ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+					if a.Key == "msg" || a.Key == "account" {
+						return a
+					}
+					return slog.Attr{}
+				},
+			}))
+			for range 2 {
+				_, _ = relay.Handle(t.Context(), ramp.Message{ID: "m", Target: "/x"}, 0)
+				time.Sleep(40 * ms)
+			}
+			relay.Pool.Close()
+		})
+	}
+	golden.Check(t, "relayload", expectedLatency.ReplaceAllString(b.String(), "$1/$2/EXPECTED/"))
+}
+
 // TestFailureAfterMerge fails when a failure that arrives after a part was
 // merged replaces the part. An answer on large sites bore the signature of a
 // failed response for this reason.
