--- a/replica/pick.go
+++ b/replica/pick.go
@@ -59,6 +59,8 @@
 	failureRatioAt time.Time // when failureRatio was last updated
 	displacedAt    time.Time // when another replica last answered at the address; zero for never
 	loggedAt       time.Time // when a change of the signals was last logged; zero for never
+
+	sentSinceSignals int // attempts placed since the signals came, those that ended included
 }
 
 // forStart returns the statistics if they belong to the given start of the replica, and
@@ -77,6 +79,7 @@
 	if s.InFlight == 0 {
 		s.lastProgress = now
 	}
+	s.sentSinceSignals++
 	s.Load = s.WithPlaced()
 	s.condition = s.withRequest(now)
 	return s
@@ -144,6 +147,7 @@
 	shares    ramp.LimitSharer
 	routing   ramp.RoutingSource                // nil if no service has a warm-up time
 	stats     *ramp.Table[string, replicaStats] // by replica id
+	points    *ramp.Table[string, points]       // by service whose replicas report their load
 }
 
 // NewPicker returns a picker without statistics. Domain is this daemon's own failure
@@ -153,7 +157,8 @@
 ) *Picker {
 	return &Picker{
 		clock: clock, log: log, domain: domain, instances: instances, shares: shares,
-		stats: ramp.NewTable[string, replicaStats](ramp.RankReplicas),
+		stats:  ramp.NewTable[string, replicaStats](ramp.RankReplicas),
+		points: ramp.NewTable[string, points](ramp.RankReplicas),
 	}
 }
 
@@ -175,16 +180,20 @@
 type selection struct {
 	best     registration
 	info     ramp.PickInfo
-	shortest float64 // expected latency of best
+	shortest float64  // expected latency of best
+	options  []option // all candidates, only where several daemons send to the replicas
 }
 
 // withCandidate returns the selection with one more replica that may get the attempt.
-func (c selection) withCandidate(r registration, health ramp.Health, expected float64) selection {
-	better := healthRank[health] < healthRank[c.info.Health] || health == c.info.Health && expected < c.shortest
+func (c selection) withCandidate(o option, senders int) selection {
+	better := healthRank[o.health] < healthRank[c.info.Health] || o.health == c.info.Health && o.expected < c.shortest
 	if c.info.Candidates == 0 || better {
-		c.best, c.info.Health, c.shortest = r, health, expected
+		c.best, c.info.Health, c.shortest = o.registration, o.health, o.expected
 	}
 	c.info.Candidates++
+	if senders > 1 {
+		c.options = append(c.options, o)
+	}
 	return c
 }
 
@@ -201,6 +210,12 @@
 	if info.Candidates == 0 {
 		return ramp.Instance{}, info, false
 	}
+	if i, load, ok := p.balanced(request, chosen.options, info.Health, now); ok {
+		best, chosen.shortest = chosen.options[i].registration, chosen.options[i].expected
+		if load != nil {
+			info = info.WithLoad(*load, chosen.options[i].stats.signalsAge(now))
+		}
+	}
 	info.ExpectedLatency, info.EntryAge = time.Duration(chosen.shortest), now.Sub(best.readAt)
 	info.StartedMillis = best.StartedMillis
 	p.stats.Update(best.ID, func(s replicaStats) replicaStats { return s.withAttempt(best.Instance, now) })
@@ -235,7 +250,9 @@
 			to.info.Saturated++
 			continue
 		}
-		*to = to.withCandidate(r, health, p.expectedLatency(r, s, now))
+		*to = to.withCandidate(option{
+			registration: r, stats: s, health: health, expected: p.expectedLatency(r, s, now),
+		}, request.Senders)
 	}
 	if usual.empty() {
 		return withheld
@@ -277,20 +294,27 @@
 // expectedLatency returns the expected time until a reply in nanoseconds, with
 // penalties and jitter.
 func (p *Picker) expectedLatency(r registration, s replicaStats, now time.Time) float64 {
-	queue := float64(s.InFlight + 1)
-	if r.Domain != p.domain {
-		queue += crossDomainPenalty
-	}
+	queue := float64(s.InFlight+1) + p.queuePenalty(r, now)
 	if s.stalled(now) {
 		queue += stalledPenalty
 	}
-	if r.WarmupLeft > 0 && now.Sub(r.readAt) < r.WarmupLeft {
-		queue += warmupPenalty
-	}
 	return s.expectedLatencyAt(queue, now) *
 		(1 + failurePenalty*s.currentFailureRatio(now)) * (1 + latencyJitter*rand.Float64())
 }
 
+// queuePenalty returns the penalty of the replica by its place and its start, as additional
+// requests in its queue.
+func (p *Picker) queuePenalty(r registration, now time.Time) float64 {
+	penalty := 0.0
+	if r.Domain != p.domain {
+		penalty += crossDomainPenalty
+	}
+	if r.WarmupLeft > 0 && now.Sub(r.readAt) < r.WarmupLeft {
+		penalty += warmupPenalty
+	}
+	return penalty
+}
+
 // Done implements [ramp.Picker].
 func (p *Picker) Done(a ramp.Attempt) {
 	now := p.clock.Now()
@@ -310,7 +334,7 @@
 		if changed = s.signals != *a.Signals && now.Sub(s.loggedAt) >= signalsLogInterval; changed {
 			s.loggedAt = now
 		}
-		s.condition = s.withSignals(*a.Signals, share, now)
+		s.condition, s.sentSinceSignals = s.withSignals(*a.Signals, share, now), 0
 		return s
 	})
 	if changed {
