--- a/allowance.go
+++ b/allowance.go
@@ -60,7 +60,7 @@
 type AllowanceView struct {
 	Tenant      string  `json:"tenant"`
 	Tokens      float64 `json:"tokens"`
-	Rate        float64 `json:"ratePerSecond"`
+	Rate        float64 `json:"rate"`
 	Burst       float64 `json:"burst"`
 	Version     uint64  `json:"version"` // version of the configuration that Rate and Burst are from
 	Established bool    `json:"established"`
