fleet, query: stop requests of tenants whose key may have been taken away

Cause: with strict revocation a request whose key was taken away must not reach a replica after the bound, from any daemon, also one that hears of no change. Change: fleet.Authorization keeps the versions of the last seconds with the last confirmation before each was found, timed by the clock that goes on while the machine is suspended. It is asked when a request is accepted, before each attempt and right before the first byte, and by a delegate for the parts that it sends. A stale read of the store confirms nothing any more, and the word of another daemon waits for a change that is being applied. A delegate gives back a part whose attempts were stopped before the first byte as unsent.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -130,6 +130,10 @@
 		Translator: platform.Translator{}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
 		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
+		Boot:  systemBootClock{},
+	}
+	if d.RevocationBound > 0 {
+		e.observer.Authorization = fleet.NewAuthorization(d.RevocationBound, systemBootClock{})
 	}
 	e.observer.Init()
 	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
@@ -158,6 +162,9 @@
 		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue, Resumed: e.pauses.Resumed,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
 	}
+	if e.observer.Authorization != nil {
+		relay.Authorizer = e.observer.Authorization
+	}
 	e.peerServer.WithCollectHandler(relay.Init())
 	front := platform.CallerHandler{Messages: relay, Memory: memory, Routing: e.routes, Leaving: e.isLeaving}
 	e.front = e.addServer(d.CallerAddress, front)
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -70,8 +70,11 @@
 	Seeds      func() []ramp.Daemon // daemons to contact while no member is known; only PeerAddress is set
 	Leaving    <-chan struct{}      // closed when the daemon starts to leave
 
-	confirmedAt   atomic.Int64                     // time from started to the last store confirmation, in ns; 0 for none
-	outageEndedAt atomic.Int64                     // like confirmedAt, of the end of the last outage of the store
+	Boot          ramp.BootClock // times confirmations; nil for Clock
+	Authorization *Authorization // is told of versions and confirmations; nil if keys need none
+
+	confirmedAt   atomic.Pointer[time.Duration]    // uptime of the last store confirmation; nil for none
+	outageEndedAt atomic.Pointer[time.Duration]    // like confirmedAt, of the end of the last outage of the store
 	gossipTurn    atomic.Uint64                    // gossip periods so far; selects the next target
 	storeTried    chan struct{}                    // closed when the first call to the store has succeeded or failed
 	applyMutex    *ramp.Mutex                      // held while a change is applied
@@ -94,6 +97,9 @@
 	o.applyMutex = ramp.NewMutex(ramp.RankStoreChanges)
 	o.storeTried = make(chan struct{})
 	o.started = o.Clock.Now()
+	if o.Boot == nil {
+		o.Boot = clockUptime{clock: o.Clock, started: o.started}
+	}
 	o.fleetSize = ramp.NewTable[string, fleetSize](ramp.RankDaemons)
 	o.registered = ramp.NewTable[string, ramp.Daemon](ramp.RankDaemons)
 	o.seen = ramp.NewTable[string, seenDaemon](ramp.RankDaemons)
@@ -152,11 +158,45 @@
 	at   time.Time // when the number of members last reached peak
 }
 
+// clockUptime is a [ramp.BootClock] that a [ramp.Clock] drives, for machines that are never
+// suspended.
+type clockUptime struct {
+	clock   ramp.Clock
+	started time.Time
+}
+
+// Uptime implements [ramp.BootClock].
+func (c clockUptime) Uptime() time.Duration { return c.clock.Now().Sub(c.started) }
+
 // ConfirmedAge returns the age of the last confirmation from the store, and reports
-// whether there was one.
+// whether there was one. It counts the time for which the machine was suspended, so that
+// other daemons can rely on it.
 func (o *Observer) ConfirmedAge() (time.Duration, bool) {
 	at := o.confirmedAt.Load()
-	return o.Clock.Now().Sub(o.started) - time.Duration(at), at != 0
+	if at == nil {
+		return 0, false
+	}
+	return o.Boot.Uptime() - *at, true
+}
+
+// confirmBound returns the time within which the confirmation from the store is renewed.
+func (o *Observer) confirmBound() time.Duration {
+	if o.Authorization == nil {
+		return o.ApplyBound
+	}
+	return min(o.ApplyBound, o.Authorization.ConfirmWithin())
+}
+
+// isOverdue reports whether the last confirmation from the store is so old that any daemon
+// watches the store itself.
+func (o *Observer) isOverdue() bool {
+	age, known := o.ConfirmedAge()
+	return !known || age > o.selfWatchAge()
+}
+
+// selfWatchAge is the greatest age of a confirmation that is not overdue.
+func (o *Observer) selfWatchAge() time.Duration {
+	return time.Duration(selfWatchShare * float64(o.confirmBound()))
 }
 
 // shouldWatch reports whether this daemon watches the store itself. All daemons
@@ -167,16 +207,39 @@
 	if len(members) <= smallFleet || IsWatcher(o.Self, members) {
 		return true
 	}
-	age, known := o.ConfirmedAge()
-	return !known || age > time.Duration(selfWatchShare*float64(o.ApplyBound))
+	return o.isOverdue()
 }
 
-// watchWait returns the wait of a watch.
+// watchWait returns the wait of a watch. Where keys need a confirmation, the watch ends
+// before the last one is overdue, and a daemon of a small fleet waits for longer, since no
+// other relies on its word.
 func (o *Observer) watchWait() time.Duration {
-	if len(o.Members.All()) <= smallFleet {
-		return observerWatchWait
+	small := len(o.Members.All()) <= smallFleet
+	if o.Authorization == nil {
+		if small {
+			return observerWatchWait
+		}
+		return min(observerWatchWait, o.ApplyBound/watchWaitDivisor)
+	}
+	wait := o.confirmBound() / watchWaitDivisor
+	if small {
+		wait *= 2
+	}
+	age, known := o.ConfirmedAge()
+	if !known {
+		return 0
+	}
+	return max(0, min(wait, o.selfWatchAge()-age))
+}
+
+// idlePause returns the time until a daemon that does not watch the store checks again
+// whether it should. Where keys need a confirmation, it does so when that is overdue.
+func (o *Observer) idlePause() time.Duration {
+	age, known := o.ConfirmedAge()
+	if o.Authorization == nil || !known {
+		return observerPause
 	}
-	return min(observerWatchWait, o.ApplyBound/watchWaitDivisor)
+	return min(observerPause, max(0, o.selfWatchAge()-age)+time.Millisecond)
 }
 
 // watchStore applies the changes of the store until ctx ends, whenever this
@@ -186,11 +249,11 @@
 	tried := sync.OnceFunc(func() { close(o.storeTried) })
 	for ctx.Err() == nil {
 		if !o.shouldWatch() {
-			_ = ramp.Sleep(ctx, o.Clock, observerPause)
+			_ = ramp.Sleep(ctx, o.Clock, o.idlePause())
 			continue
 		}
 		after = max(after, o.Mirror.Revision())
-		started, wait := o.Clock.Now(), o.watchWait()
+		seen, started, wait := after, o.Boot.Uptime(), o.watchWait()
 		entries, until, err := o.Store.Watch(ctx, "", after, wait)
 		if isCompacted(err) {
 			o.Log.Info("store history compacted, reading all entries", "after", after)
@@ -208,10 +271,13 @@
 				o.recordOutage()
 			}
 			failures = 0
-			ended := o.Clock.Now()
+			ended := o.Boot.Uptime()
 			o.applyChange(ramp.EntryChange{FromRevision: after, ToRevision: until, Entries: entries}, "store")
-			o.confirm(confirmedAt(started, ended, wait, len(entries))) // only now does the view contain the changes
-			after, pause = max(after, until), 0
+			after, pause = max(after, until), observerPause
+			if until >= seen { // or else the read was stale and confirms nothing
+				o.confirm(confirmedAt(started, ended, wait, len(entries))) // only now does the view contain the changes
+				pause = 0
+			}
 			if len(entries) > 0 {
 				pause = o.ApplyBound / batchDivisor
 			}
@@ -223,20 +289,23 @@
 	}
 }
 
-// confirmedAt returns the time for which a watch confirms the view. The store ends a
+// confirmedAt returns the uptime for which a watch confirms the view. The store ends a
 // watch without changes after the wait, counted from the arrival of the call. Any
 // other reply may have been on its way since the call.
-func confirmedAt(started, ended time.Time, wait time.Duration, changes int) time.Time {
-	if changes == 0 && ended.Sub(started) >= wait {
-		return started.Add(wait)
+func confirmedAt(started, ended, wait time.Duration, changes int) time.Duration {
+	if changes == 0 && ended-started >= wait {
+		return started + wait
 	}
 	return started
 }
 
-// confirm records a confirmation from the store for the given time.
-func (o *Observer) confirm(confirmed time.Time) {
-	at := max(1, int64(confirmed.Sub(o.started)))
-	for old := o.confirmedAt.Load(); at > old && !o.confirmedAt.CompareAndSwap(old, at); old = o.confirmedAt.Load() {
+// confirm records a confirmation from the store for the given uptime.
+func (o *Observer) confirm(at time.Duration) {
+	for old := o.confirmedAt.Load(); (old == nil || at > *old) && !o.confirmedAt.CompareAndSwap(old, &at); {
+		old = o.confirmedAt.Load()
+	}
+	if o.Authorization != nil {
+		o.Authorization.Confirm(at)
 	}
 }
 
@@ -255,7 +324,8 @@
 
 // recordOutage records that the store answers again after an outage.
 func (o *Observer) recordOutage() {
-	o.outageEndedAt.Store(int64(o.Clock.Now().Sub(o.started)))
+	now := o.Boot.Uptime()
+	o.outageEndedAt.Store(&now)
 }
 
 // changedNotBefore returns the earliest time at which the store can have acknowledged a
@@ -263,11 +333,14 @@
 // without one. What the store changed during an outage counts from its end, since the
 // entries that expired meanwhile are about to be written again.
 func (o *Observer) changedNotBefore() time.Time {
-	at := o.confirmedAt.Load()
-	if at == 0 {
+	age, known := o.ConfirmedAge()
+	if !known {
 		return time.Time{}
 	}
-	return o.started.Add(time.Duration(max(at, o.outageEndedAt.Load())))
+	if ended := o.outageEndedAt.Load(); ended != nil {
+		age = min(age, o.Boot.Uptime()-*ended)
+	}
+	return o.Clock.Now().Add(-age)
 }
 
 // applyChange applies a change of the store.
@@ -292,6 +365,9 @@
 	age, _ := o.ConfirmedAge()
 	switch {
 	case r.Routing != nil:
+		if o.Authorization != nil {
+			o.Authorization.Found(r.Routing.Version)
+		}
 		if o.Routes.Update(*r.Routing) {
 			o.Log.Info("configuration applied", "version", r.Routing.Version, "routes", len(r.Routing.Routes),
 				"revision", e.Revision, "source", source, "age", age)
--- a/fleet/observer_gossip.go
+++ b/fleet/observer_gossip.go
@@ -106,7 +106,7 @@
 func (o *Observer) gossipWith(ctx context.Context, to ramp.Daemon) {
 	limited, cancel := context.WithTimeout(ctx, observerGossipTimeout)
 	defer cancel()
-	started := o.Clock.Now()
+	started := o.Boot.Uptime()
 	reply, err := o.Peers.Gossip(limited, to, o.summary())
 	if ctx.Err() == nil || err == nil {
 		o.logReachability("daemon "+to.PeerAddress, err)
@@ -119,8 +119,19 @@
 	if reply.EntryChange.ToRevision > 0 {
 		o.applyChange(reply.EntryChange, reply.From.ID)
 	}
-	if reply.ConfirmedAge >= 0 && reply.MembersRevision >= o.Mirror.Revision() {
-		o.confirm(started.Add(-reply.ConfirmedAge))
+	if reply.ConfirmedAge >= 0 {
+		o.confirmFrom(reply, started)
+	}
+}
+
+// confirmFrom records the confirmation of another daemon that was asked at the uptime
+// started, if this daemon's view contains no later changes. A change that is being applied
+// meanwhile must be complete before, since the confirmation may be later than that change.
+func (o *Observer) confirmFrom(reply ramp.GossipMessage, started time.Duration) {
+	o.applyMutex.Lock()
+	defer o.applyMutex.Unlock()
+	if reply.MembersRevision >= o.Mirror.Revision() {
+		o.confirm(started - reply.ConfirmedAge)
 	}
 }
 
--- a/query/collection.go
+++ b/query/collection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -76,14 +77,14 @@
 // batch with the parts that have no healthy replica in this daemon's failure domain,
 // if there are any, so that the daemon that asks can get them elsewhere at once. It
 // does so with all parts when the collection may have waited while the process was
-// paused.
+// paused, or when the key may have been taken away by this daemon's own view.
 func (e *execution) startCollection(reported map[int]bool, send func(ramp.Batch) error) error {
 	var batch ramp.Batch
 	var usable []int
-	resumed := e.relay.resumed()
+	mayStart := !e.relay.resumed() && e.authorized()
 	for i := range e.partCount {
 		state, _ := e.parts.Get(i)
-		if !resumed && e.mayCollect(state.service) {
+		if mayStart && e.mayCollect(state.service) {
 			usable = append(usable, i)
 			continue
 		}
@@ -144,13 +145,17 @@
 }
 
 // pendingPart returns a part without a response, with the replica that its newest
-// attempt was sent to. A part without an attempt is closed first, so that an attempt
+// attempt was sent to, or is about to be. A part without an attempt is closed first, so that an attempt
 // that waits for a worker is not made after the part was given back as unsent.
 func (e *execution) pendingPart(index int) ramp.PendingPart {
 	e.giveUp(index) // no effect with a pending attempt
 	pending := ramp.PendingPart{Index: index}
-	if s, _ := e.parts.Get(index); len(s.attempts) > 0 {
-		pending.Replica = s.attempts[len(s.attempts)-1].Replica.ID
+	s, _ := e.parts.Get(index)
+	for _, a := range slices.Backward(s.attempts) {
+		if a.Outcome != ramp.NotStarted {
+			pending.Replica = a.Replica.ID
+			break
+		}
 	}
 	return pending
 }
--- a/query/delegation.go
+++ b/query/delegation.go
@@ -30,6 +30,12 @@
 // collect the parts of their services, or directly where there is none. Unless the
 // fleet is grouped, only first attempts in other failure domains are delegated.
 func (e *execution) dispatch(indexes []int, kind ramp.AttemptKind) {
+	if len(indexes) > 0 && !e.authorized() {
+		for _, i := range indexes {
+			e.giveUp(i)
+		}
+		return
+	}
 	if !e.delegates || kind != ramp.First && !e.grouped {
 		for _, i := range indexes {
 			e.submit(i, kind)
--- a/query/execution.go
+++ b/query/execution.go
@@ -64,8 +64,11 @@
 	remaining      atomic.Int64 // parts neither received nor given up
 	received       atomic.Int64 // parts that were received
 	quorumSuffices atomic.Bool  // set once the wait for a complete answer is over
-	delegates      bool         // attempts may be made through other daemons
-	grouped        bool         // all replicas are left to their delegates, see [ramp.DelegateSelector]
+
+	unconfirmed atomic.Pointer[ramp.RefusedError] // why an attempt of a tenant was not made; nil for none
+
+	delegates bool // attempts may be made through other daemons
+	grouped   bool // all replicas are left to their delegates, see [ramp.DelegateSelector]
 
 	collection // how parts are collected for another daemon; zero if they are not
 
@@ -269,7 +272,7 @@
 	if state.closed || e.context.Err() != nil || kind == ramp.Hedge && !state.overdue(e.hedgeDelay, e.elapsed()) {
 		return
 	}
-	if state.sentCount() >= e.route.MaxAttempts {
+	if state.sentCount() >= e.route.MaxAttempts || !e.authorized() {
 		e.giveUp(index)
 		return
 	}
@@ -342,9 +345,11 @@
 	e.finish(index, a, response, err)
 }
 
-// errReplicaLeft is the cause of an attempt whose replica was about to leave when it had
-// a connection.
-var errReplicaLeft = errors.New("the replica must get no requests any more")
+// Causes of attempts that were not sent although they had a connection.
+var (
+	errReplicaLeft = errors.New("the replica must get no requests any more")
+	errUnconfirmed = errors.New("the key may have been taken away")
+)
 
 // beforeSend returns an error for an attempt that has a connection but must not be sent
 // any more.
@@ -352,6 +357,9 @@
 	if !e.relay.Picker.Usable(i) {
 		return &ramp.AttemptError{Outcome: ramp.NotStarted, Cause: errReplicaLeft}
 	}
+	if !e.authorized() {
+		return &ramp.AttemptError{Outcome: ramp.NotStarted, Cause: errUnconfirmed}
+	}
 	if e.withdrawal != nil && !e.withdrawal.beginSend() {
 		return &ramp.AttemptError{Outcome: ramp.Cancelled, Cause: context.Canceled}
 	}
@@ -492,7 +500,7 @@
 		r.Response = s.response
 		return r, nil
 	}
-	return r, e.refuse(e.refusalReason(), mayHaveRun, e.openDelay(states))
+	return r, e.refuseUnanswered(mayHaveRun, states)
 }
 
 // close closes all parts and returns their final states. No batch is merged
@@ -521,34 +529,42 @@
 	r.MissingParts = e.partCount - len(r.Stamps)
 	if len(r.Stamps) < e.quorum {
 		r.Stamps = nil
-		return r, e.refuse(e.refusalReason(), mayHaveRun, e.openDelay(states))
+		return r, e.refuseUnanswered(mayHaveRun, states)
 	}
 	r.Response.Body = topRecords(bodies, e.route.TopK)
 	return r, nil
 }
 
-// refusalReason returns why there is no answer: the deadline passed or no
-// replica answered.
-func (e *execution) refusalReason() ramp.Reason {
+// refuseUnanswered returns the refusal of a message without an answer: the key may have been
+// taken away before the message was sent, the deadline passed, or no replica answered.
+func (e *execution) refuseUnanswered(mayHaveRun bool, states []part) error {
+	if refused := e.unconfirmed.Load(); refused != nil && !mayHaveRun {
+		return refused
+	}
 	if !e.relay.Clock.Now().Before(e.deadline) {
-		return ramp.ReasonDeadline
+		return e.refuse(ramp.ReasonDeadline, mayHaveRun, e.openDelay(states))
 	}
-	return ramp.ReasonReplica
+	return e.refuse(ramp.ReasonReplica, mayHaveRun, e.openDelay(states))
 }
 
 // refuse returns a refusal, with a time to retry after if the message cannot
-// have run: the delay until replicas accept it, and a part of it more, so that
-// the callers refused meanwhile do not all return at once.
+// have run: the delay until replicas accept it, spread over the callers.
 func (e *execution) refuse(reason ramp.Reason, mayHaveRun bool, delay time.Duration) error {
 	if mayHaveRun {
 		return &ramp.RefusedError{Reason: reason, Ran: ramp.RanUnknown}
 	}
 	return &ramp.RefusedError{
 		Reason: reason, Ran: ramp.NotRun,
-		RetryAfter: max(refusalRetryAfter, delay+time.Duration(returnSpread*rand.Float64()*float64(delay))),
+		RetryAfter: max(refusalRetryAfter, spread(delay)),
 	}
 }
 
+// spread returns the delay with a random part of it added, so that the callers refused
+// meanwhile do not all return at once.
+func spread(delay time.Duration) time.Duration {
+	return delay + time.Duration(returnSpread*rand.Float64()*float64(delay))
+}
+
 // openDelay returns the time until replicas accept requests for enough of the
 // parts that were not received to reach the quorum.
 func (e *execution) openDelay(states []part) time.Duration {
--- a/query/relay.go
+++ b/query/relay.go
@@ -135,10 +135,10 @@
 		return result, &ramp.RefusedError{Reason: ramp.ReasonSize, Ran: ramp.NotRun}
 	}
 	m, tenant, err := r.authenticate(m, route, routing)
+	result.Tenant, result.Priority = tenant.Name, m.Priority
 	if err != nil {
 		return result, err
 	}
-	result.Tenant, result.Priority = tenant.Name, m.Priority
 	result.PriorWait = r.priorWait(route.Name, limit)
 	deadline := started.Add(route.Timeout)
 	if limit > 0 && limit < route.Timeout {
@@ -206,6 +206,9 @@
 		"waited", result.PriorWait, "elapsed", result.Elapsed, "attempts", len(result.Attempts),
 		"repeats", countRepeats(result.Attempts),
 	}
+	if result.Tenant != "" {
+		attributes = append(attributes, "tenant", result.Tenant, "priority", result.Priority)
+	}
 	if refused := findRefusal(err); refused != nil {
 		attributes = append(attributes, "ran", refused.Ran, "reason", refused.Reason, "detail", refused.Detail)
 		r.Log.Warn("request failed", append(attributes, "account", formatAttempts(result.Attempts))...)
--- a/query/tenants.go
+++ b/query/tenants.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
 )
 
 // unconfirmedRetryAfter is the time after which a caller may retry when the configuration
-// may be too old to authorise its key.
+// may be too old to authorise its key: the daemon asks the store again after a second at
+// most, and another daemon after 0.4 s.
 const unconfirmedRetryAfter = 500 * time.Millisecond
 
 // authenticate returns the message with its tenant and rank, and the tenant, or a
@@ -35,12 +37,28 @@
 // checkAuthorization returns a [*ramp.RefusedError] when a message may not be sent any more
 // under the version of the configuration that its key was authorised by.
 func (r *Relay) checkAuthorization(m ramp.Message) error {
-	if m.Tenant == "" || r.Authorizer == nil || r.Authorizer.ValidFor(m.Version) > 0 {
+	if m.Tenant == "" || r.Authorizer == nil {
+		return nil
+	}
+	left := r.Authorizer.ValidFor(m.Version)
+	if left > 0 {
 		return nil
 	}
 	return &ramp.RefusedError{
-		Reason: ramp.ReasonUnconfirmed, Ran: ramp.NotRun, RetryAfter: unconfirmedRetryAfter,
+		Reason: ramp.ReasonUnconfirmed, Ran: ramp.NotRun, RetryAfter: spread(unconfirmedRetryAfter),
+		Detail: fmt.Sprintf("authorisation under version %d ended %s ago", m.Version, -left),
+	}
+}
+
+// authorized reports whether the message may still be sent under the version of the
+// configuration that its key was authorised by. It is asked before each attempt, by the
+// daemon that makes it, and right before the first byte.
+func (e *execution) authorized() bool {
+	refused := findRefusal(e.relay.checkAuthorization(e.message))
+	if refused != nil {
+		e.unconfirmed.Store(refused)
 	}
+	return refused == nil
 }
 
 // admit takes a token of the tenant's allowance and admits the message. It returns a
