--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -133,6 +133,10 @@
 		Translator: platform.Translator{}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
 		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
+		Boot:  systemBootClock{},
+	}
+	if d.RevocationBound > 0 {
+		e.observer.Authorization = fleet.NewAuthorization(d.RevocationBound, systemBootClock{})
 	}
 	e.observer.Init()
 	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
@@ -169,6 +173,9 @@
 			Admitter: e.admitter, Clock: e.clock, Log: e.log, Routes: e.routes, Capacity: e.picker.Capacity,
 		},
 	}
+	if e.observer.Authorization != nil {
+		relay.Authorizer = e.observer.Authorization
+	}
 	e.peerServer.WithCollectHandler(relay.Init())
 	if d.Quota.Window > 0 {
 		e.allowances = e.newAllowances()
