--- a/fleet/members.go
+++ b/fleet/members.go
@@ -34,6 +34,7 @@
 // member is a daemon of the fleet as last seen. It is an immutable value.
 type member struct {
 	daemon       ramp.Daemon // its Leaving is never reset
+	hash         uint64      // of its incarnation
 	lastSeen     time.Time   // last time that the store listed the member or the member sent a message
 	unresponsive bool        // whether a call to the member has failed since lastSeen
 	failedAt     time.Time   // last time that a call to the member failed; zero for never
@@ -45,6 +46,9 @@
 // WithDaemon returns the member as seen now.
 func (m member) WithDaemon(d ramp.Daemon, now time.Time) member {
 	d.Leaving = d.Leaving || m.daemon.Leaving
+	if m.lastSeen.IsZero() {
+		m.hash = ramp.HashKey(d.Incarnation)
+	}
 	m.daemon = d
 	m.lastSeen = now
 	m.unresponsive = false
--- a/fleet/ranking.go
+++ b/fleet/ranking.go
@@ -26,7 +26,7 @@
 	// Requests ask for a few of up to thousands of members, so only those are kept.
 	best := make([]rankedMember, 0, min(count, maxRankedMembers)+1)
 	m.members.Each(func(incarnation string, other member) bool {
-		weight := mixHashes(hash, ramp.HashKey(incarnation))
+		weight := mixHashes(hash, other.hash)
 		if len(best) > 0 && weight < best[len(best)-1].weight && staying(best) >= count {
 			return true
 		}
