plan: compare allowances with equal shares, shares by demand and delegates

The model test starts its fleets two windows before the load, plays 78 small tenants through each failure, and records the errors of the alternatives.

--- a/plan/allowance_test.go
+++ b/plan/allowance_test.go
@@ -63,8 +63,14 @@
 	refused map[string]int
 	central map[string]account // what a single daemon without delay would grant
 	granted map[string]int     // by the central accounts
+	rule    allowanceRule      // decides instead of the limiters; nil for none
 }
 
+// allowanceRule reports whether a daemon admits a request of a tenant. It stands for an
+// alternative to accounts that one daemon keeps.
+type allowanceRule func(f *allowanceFleet, at int, t ramp.Tenant) bool
+
+// newAllowanceFleet returns a fleet whose daemons were started two windows ago.
 func newAllowanceFleet(size int, tenants ...ramp.Tenant) *allowanceFleet {
 	f := &allowanceFleet{
 		manualClock: &manualClock{now: time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(1, 2)), tenants: tenants,
@@ -76,6 +82,7 @@
 	}
 	f.publish(0)
 	f.configure(1, 0, tenants...)
+	f.now = f.now.Add(2 * quotaBounds.Window)
 	return f
 }
 
@@ -236,6 +243,12 @@
 		for at = f.random.IntN(len(f.daemons)); f.daemons[at].stopped; at = f.random.IntN(len(f.daemons)) {
 		}
 	}
+	if f.rule != nil {
+		if f.rule(f, at, t) {
+			f.sent[t.Name] = append(f.sent[t.Name], f.elapsed)
+		}
+		return
+	}
 	d := f.daemons[at]
 	routing, _ := d.routes.Current()
 	err := d.limiter.Take(context.Background(), ramp.AllowanceRequest{
@@ -268,21 +281,28 @@
 }
 
 // check fails when a tenant has sent more than its allowance permits in a window that
-// ended after the given time, and returns a description of the errors: the requests beyond
-// rate and burst in the worst window, and those that a single account would have granted.
+// ended after the given time, and returns the errors.
 func (f *allowanceFleet) check(t *testing.T, from time.Duration, tenants ...ramp.Tenant) string {
 	t.Helper()
-	beyond, short, sent, central := 0.0, 0, 0, 0
 	for _, tenant := range tenants {
-		allowed := tenant.Rate*quotaBounds.Window.Seconds() + tenant.Burst
-		most := float64(f.most(tenant.Name, from))
-		if bound := allowed*1.1 + 20; most > bound {
+		bound := (tenant.Rate*quotaBounds.Window.Seconds()+tenant.Burst)*1.1 + 20
+		if most := float64(f.most(tenant.Name, from)); most > bound {
 			t.Errorf("%s: tenant %s sent %v requests in a window, the bound is %v", t.Name(), tenant.Name, most, bound)
 		}
-		beyond = max(beyond, most-allowed)
-		short += max(0, f.granted[tenant.Name]-len(f.sent[tenant.Name]))
-		sent += len(f.sent[tenant.Name])
-		central += f.granted[tenant.Name]
+	}
+	return f.errors(tenants...)
+}
+
+// errors describes the errors: the requests beyond rate and burst in the worst window of
+// any tenant, and the requests of all tenants that a single account without delay would
+// have granted besides.
+func (f *allowanceFleet) errors(tenants ...ramp.Tenant) string {
+	beyond, short, sent, central := 0.0, 0, 0, 0
+	for _, t := range tenants {
+		beyond = max(beyond, float64(f.most(t.Name, 0))-t.Rate*quotaBounds.Window.Seconds()-t.Burst)
+		short += max(0, f.granted[t.Name]-len(f.sent[t.Name]))
+		sent += len(f.sent[t.Name])
+		central += f.granted[t.Name]
 	}
 	return fmt.Sprintf("sent=%d central=%d beyond=%.0f refused-within=%d", sent, central, beyond, short)
 }
@@ -295,25 +315,124 @@
 // fleetSizes are the sizes for which the model test runs.
 var fleetSizes = []int{5, 38, 300}
 
-// TestAllowances guards against tenants that send more than their allowance through many
-// daemons, and against refusals within it.
-func TestAllowances(t *testing.T) {
-	large := tenantNamed("large", largeRate, largeRate)
+// shareBuckets returns a rule with buckets that each have a share of the rate and burst and
+// hold a whole token at least.
+func shareBuckets(
+	bucket func(f *allowanceFleet, at int) int, share func(f *allowanceFleet, bucket int) float64,
+) allowanceRule {
+	buckets := make(map[string]account)
+	return func(f *allowanceFleet, at int, t ramp.Tenant) bool {
+		n := bucket(f, at)
+		key := fmt.Sprint(t.Name, n)
+		a, known := buckets[key]
+		part := share(f, n)
+		if !known {
+			a.refilled, a.tokens = f.now, max(1, t.Burst*part)
+		}
+		a.tokens = min(max(1, t.Burst*part), a.tokens+t.Rate*part*f.now.Sub(a.refilled).Seconds())
+		a.refilled = f.now
+		a, tokens := a.WithTaken(1, f.now)
+		buckets[key] = a
+		return tokens > 0
+	}
+}
+
+// ownBucket returns the number of the daemon's own bucket.
+func ownBucket(_ *allowanceFleet, at int) int { return at }
+
+// equalShares gives each daemon an equal share.
+func equalShares() allowanceRule {
+	return shareBuckets(ownBucket, func(f *allowanceFleet, _ int) float64 { return 1 / float64(len(f.daemons)) })
+}
+
+// demandShares gives each daemon a share in proportion to its demand of the tenant in the
+// second before, which all daemons know without loss. A tenth is divided equally.
+func demandShares() allowanceRule {
+	var second time.Duration
+	counts, known, totals := map[string]float64{}, map[string]float64{}, map[string]float64{}
+	var tenant string
+	rule := shareBuckets(ownBucket, func(f *allowanceFleet, at int) float64 {
+		size := float64(len(f.daemons))
+		if totals[tenant] == 0 {
+			return 1 / size
+		}
+		return 0.1/size + 0.9*known[fmt.Sprint(tenant, "/", at)]/totals[tenant]
+	})
+	return func(f *allowanceFleet, at int, t ramp.Tenant) bool {
+		if f.elapsed-second >= time.Second {
+			known, counts, totals, second = counts, map[string]float64{}, map[string]float64{}, f.elapsed
+			for key, n := range known {
+				name, _, _ := strings.Cut(key, "/")
+				totals[name] += n
+			}
+		}
+		tenant = t.Name
+		counts[fmt.Sprint(t.Name, "/", at)]++
+		return rule(f, at, t)
+	}
+}
+
+// delegateCounts counts at one delegate for each failure domain, which has an equal share.
+func delegateCounts() allowanceRule {
+	return shareBuckets(func(_ *allowanceFleet, at int) int { return at % domains },
+		func(*allowanceFleet, int) float64 { return 1.0 / domains })
+}
+
+// TestAllowanceAlternatives records the errors of other ways to enforce an allowance. None
+// of them keeps both within the bound and close to what a single account grants.
+func TestAllowanceAlternatives(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct {
+		name string
+		rule func() allowanceRule
+	}{{"equal shares", equalShares}, {"shares by demand", demandShares}, {"delegates", delegateCounts}} {
+		for _, size := range fleetSizes {
+			for _, at := range []int{-1, 0} {
+				large := tenantNamed("large", largeRate, largeRate)
+				f := newAllowanceFleet(size, large)
+				f.rule = c.rule()
+				playSurge(f, at)
+				fmt.Fprintf(&b, "%s, %d daemons, surge at daemon %d: %s\n", c.name, size, at, f.errors(large))
+			}
+			small := smallTenants()
+			f := newAllowanceFleet(size, small...)
+			f.rule = c.rule()
+			f.run(30*time.Second, -1, surge(1))
+			fmt.Fprintf(&b, "%s, %d daemons, 78 tenants: %s\n", c.name, size, f.errors(small...))
+		}
+	}
+	golden.Check(t, "allowancealternatives", b.String())
+}
+
+// playSurge plays eight seconds of a surge between two times of usual load.
+func playSurge(f *allowanceFleet, at int) {
+	f.run(10*time.Second, at, surge(1))
+	f.run(8*time.Second, at, surge(surgeFactor))
+	f.run(10*time.Second, at, surge(1))
+}
+
+// smallTenants returns 78 tenants whose usual load is one request a second.
+func smallTenants() []ramp.Tenant {
 	var small []ramp.Tenant
 	for i := range 78 {
 		small = append(small, tenantNamed(fmt.Sprint("t", i), 1.6, 5))
 	}
+	return small
+}
+
+// TestAllowances guards against tenants that send more than their allowance through many
+// daemons, and against refusals within it.
+func TestAllowances(t *testing.T) {
+	large := tenantNamed("large", largeRate, largeRate)
+	small := smallTenants()
 	var b strings.Builder
 	for _, size := range fleetSizes {
 		for _, at := range []int{-1, 0} {
 			f := newAllowanceFleet(size, large)
-			f.run(10*time.Second, at, surge(1))
-			f.run(8*time.Second, at, surge(surgeFactor))
-			f.run(10*time.Second, at, surge(1))
+			playSurge(f, at)
 			fmt.Fprintf(&b, "%d daemons, surge at daemon %d: %s\n", size, at, f.check(t, 0, large))
 		}
 		f := newAllowanceFleet(size, small...)
-		f.run(10*time.Second, -1, surge(0))
 		f.run(30*time.Second, -1, surge(1))
 		fmt.Fprintf(&b, "%d daemons, 78 tenants: %s\n", size, f.check(t, 0, small...))
 	}
@@ -370,7 +489,7 @@
 			d := f.add(fmt.Sprint("join", i))
 			d.routes.Update(routing)
 			d.members.Update(append(f.daemons[0].members.All(), d.Daemon))
-			if d.members.Ranked("large", 1)[0].Incarnation == d.Incarnation {
+			if d.members.Ranked(f.tenants[0].Name, 1)[0].Incarnation == d.Incarnation {
 				break
 			}
 			f.daemons = f.daemons[:len(f.daemons)-1]
@@ -411,6 +530,11 @@
 					fmt.Fprintf(&b, "%d daemons, %g times the usual load: %s\n", size, factor, f.check(t, 0, large))
 				}
 			}
+			small := smallTenants()
+			f := newAllowanceFleet(38, small...)
+			f.after(failureAt, func() { c.fail(f, f.daemons[f.owner(small[0].Name)]) })
+			f.run(failureDuration, -1, surge(1))
+			fmt.Fprintf(&b, "38 daemons, 78 tenants: %s\n", f.check(t, 0, small...))
 			golden.Check(t, fmt.Sprint("allowancefailure", i), c.name+"\n"+b.String())
 		})
 	}
