--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -167,9 +168,11 @@
 	m.setGauge("running", float64(s.Running))
 	m.setGauge("waiting", float64(s.Waiting))
 	for _, l := range s.Limits {
-		m.reporter.AllocateGauge("sycamoreramp_limit", map[string]string{
-			tagService: m.boundedTag(l.Service),
-		}).ReportGauge(l.Size)
+		tags := map[string]string{tagService: m.boundedTag(l.Service)}
+		if l.Ranked {
+			tags["priority"] = strconv.Itoa(l.Priority)
+		}
+		m.reporter.AllocateGauge("sycamoreramp_limit", tags).ReportGauge(l.Size)
 	}
 }
 
--- a/plan/admission.go
+++ b/plan/admission.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return func() { m.release(sq, cost, admitted, signs{}) }, nil
+	return func() { m.release(sq, flowKey{}, cost, admitted, signs{}) }, nil
 }
 
 // admit blocks until the request is admitted or refused. It returns the request's
@@ -113,23 +113,20 @@
 func (m *Admitter) admitOrQueue(r request, now time.Time) (*serviceQueue, *waiter, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	queueFor := m.queueFor
-	if r.ranked {
-		queueFor = m.rankedQueueFor
-	}
-	sq := queueFor(r.service)
+	sq := m.queueFor(r.service)
+	sq.ranked = r.ranked
 	f := m.flowFor(sq, r)
 	p := m.quotas[r.allowance.Plan].WithRefill(now).WithRequested(r.cost)
 	m.quotas[r.allowance.Plan] = p
-	if sq.waiting == 0 && p.hasTokens() && sq.fits(r.cost) && m.fits(r.cost) {
+	if sq.waiting == 0 && p.hasTokens() && sq.fits(f, r.cost, now) && m.fits(r.cost) {
 		m.start(sq, f, r.cost, now)
 		return sq, nil, nil
 	}
-	if !sq.fits(r.cost) {
-		sq.limit = sq.limit.WithBlocked()
+	if !sq.fits(f, r.cost, now) {
+		sq.limit, sq.room = sq.limit.WithBlocked(), sq.room.withBlocked(classOf(sq.urgency(f)))
 	}
 	w := &waiter{cost: r.cost, queuedAt: now, maxWait: sq.queueTimeout(r, now), granted: make(chan struct{})}
-	load, share := m.expectedWait(sq, f, r.cost)
+	load, share := m.expectedWait(sq, f, r.cost, now)
 	if m.queueFull(sq, f) || max(load, share) > w.maxWait || w.maxWait <= 0 {
 		return sq, nil, m.refuse(sq, f, w, load, share, now)
 	}
@@ -181,7 +178,7 @@
 		return nil
 	}
 	f := sq.flows[r.flow]
-	load, share := m.expectedWait(sq, f, w.cost)
+	load, share := m.expectedWait(sq, f, w.cost, now)
 	m.dequeue(sq, f, w)
 	m.dispatch(now)
 	if sq.ranked && reason != "" {
@@ -192,13 +189,16 @@
 
 // release frees the capacity of an admitted request and dispatches queued requests.
 // Seen is what its attempts show of the room at the replicas.
-func (m *Admitter) release(sq *serviceQueue, cost int, admitted time.Time, seen signs) {
+func (m *Admitter) release(sq *serviceQueue, key flowKey, cost int, admitted time.Time, seen signs) {
 	now := m.config.Clock.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if f, ok := sq.flows[key]; ok && seen.cost > 0 {
+		f.served, sq.served = f.served.withResult(seen.inTime, now), sq.served.withResult(seen.inTime, now)
+	}
 	m.running -= cost
-	sq.end(cost, now.Sub(admitted))
-	sq.limit = sq.limit.withSigns(seen).WithAdjustment(now)
+	sq.end(cost, now.Sub(admitted), now)
+	sq.limit, sq.room = sq.limit.WithAdjustment(now), sq.room.withSigns(seen, admitted, now).withAdjustment(now)
 	m.dispatch(now)
 }
 
@@ -208,7 +208,7 @@
 		m.quotas[plan] = m.quotas[plan].WithRefill(now)
 	}
 	for m.waiting > 0 {
-		sq, f := m.next()
+		sq, f := m.next(now)
 		if f == nil || !m.fits(f.waiting[0].cost) {
 			break
 		}
@@ -218,12 +218,13 @@
 		close(w.granted)
 		m.dequeue(sq, f, w)
 	}
-	m.armTimer()
+	m.armTimer(now)
 }
 
 // armTimer starts a timer that dispatches as soon as the first of the plans
-// that wait for tokens has some.
-func (m *Admitter) armTimer() {
+// that wait for tokens has some, or the mean occupancy of an idle pool is within its
+// limit.
+func (m *Admitter) armTimer(now time.Time) {
 	if m.timerSet || m.waiting == 0 {
 		return
 	}
@@ -234,6 +235,11 @@
 			soonest = after
 		}
 	}
+	for _, sq := range m.queueOrder {
+		if after := sq.idleDelay(now); after > 0 && (soonest == 0 || after < soonest) {
+			soonest = after
+		}
+	}
 	if soonest == 0 {
 		return
 	}
@@ -250,10 +256,10 @@
 // and advances the virtual times and finish tags.
 func (m *Admitter) start(sq *serviceQueue, f *flow, cost int, now time.Time) {
 	m.running += cost
+	sq.begin(cost, now)
 	if sq.ranked {
-		f.served, sq.served = f.served.withDecision(true, now), sq.served.withDecision(true, now)
+		sq.room = sq.room.withAdmitted(classOf(sq.urgency(f)), cost, sq.running)
 	}
-	sq.begin(cost)
 	m.quotas[f.plan] = m.quotas[f.plan].WithAdmitted(cost)
 	m.virtualTime = max(m.virtualTime, sq.finishTag)
 	sq.finishTag = m.virtualTime + float64(cost)/m.totalWeight(sq, f)
@@ -293,19 +299,12 @@
 func (m *Admitter) fits(cost int) bool { return m.running == 0 || m.running+cost <= m.config.Capacity }
 
 func (m *Admitter) queueFor(service string) *serviceQueue {
-	return m.queueWith(service, false, NewLimit(min(m.config.Floor, m.config.Capacity), m.config.Capacity))
-}
-
-// rankedQueueFor returns the queue of a pool of services, whose flows are ordered by rank.
-func (m *Admitter) rankedQueueFor(pool string) *serviceQueue {
-	return m.queueWith(pool, true, NewRoomLimit(min(m.config.Floor, m.config.Capacity), m.config.Capacity))
-}
-
-// queueWith returns the service's queue, and creates it with the limit if needed.
-func (m *Admitter) queueWith(service string, ranked bool, limit Limit) *serviceQueue {
 	sq, ok := m.queues[service]
 	if !ok {
-		sq = &serviceQueue{service: service, ranked: ranked, flows: make(map[flowKey]*flow), limit: limit}
+		limit := NewLimit(min(m.config.Floor, m.config.Capacity), m.config.Capacity)
+		sq = &serviceQueue{
+			service: service, flows: make(map[flowKey]*flow), limit: limit, room: newRoomLimit(m.config.Capacity),
+		}
 		m.queues[service] = sq
 		m.queueOrder = append(m.queueOrder, sq)
 	}
@@ -465,8 +464,10 @@
 
 // ServiceLimit is the adaptive concurrency limit of a service.
 type ServiceLimit struct {
-	Service string
-	Size    float64 // in sub-requests
+	Service  string // or pool
+	Ranked   bool   // it is for tenants' requests of the rank Priority, or of that and lower ranks
+	Priority int
+	Size     float64 // in sub-requests
 }
 
 // State returns the admitter's current load and limits.
@@ -475,7 +476,13 @@
 	defer m.mutex.Unlock()
 	s := State{Running: m.running, Waiting: m.waiting, Limits: make([]ServiceLimit, 0, len(m.queueOrder))}
 	for _, sq := range m.queueOrder {
-		s.Limits = append(s.Limits, ServiceLimit{Service: sq.service, Size: sq.limit.Size})
+		if !sq.ranked {
+			s.Limits = append(s.Limits, ServiceLimit{Service: sq.service, Size: sq.limit.Size})
+			continue
+		}
+		for c, size := range sq.room.sizes {
+			s.Limits = append(s.Limits, ServiceLimit{Service: sq.service, Ranked: true, Priority: c, Size: size})
+		}
 	}
 	return s
 }
--- a/plan/limit.go
+++ b/plan/limit.go
@@ -16,7 +16,6 @@
 	refusalFactor   = 0.85                   // factor for the limit on overload
 	minFactor       = 0.5                    // lowest factor for the limit on queueing
 	startFactor     = 4                      // initial limit, in multiples of the floor
-	roomGrowth      = 0.125                  // part of a request that a limit by room grows by, for each window since it shrank
 	growthShare     = 0.05                   // share of the limit that is added while it is in use
 	inUseShare      = 0.8                    // peak, as a share of the limit, from which the limit is in use
 	baselineDrift   = 1.01                   // growth of the baseline per window, so that it follows a lasting change
@@ -27,9 +26,7 @@
 // sub-requests that this daemon keeps in flight to its replicas. It is derived
 // from the daemon's own queries: it shrinks while replicas refuse attempts or
 // while hold times show that queries are queueing, and grows while it is in use
-// without either. A limit by room, which handles overload of replicas that many
-// daemons share, ignores hold times, because slow replicas and long requests
-// lengthen them too. It is an immutable value.
+// without either. It is an immutable value.
 type Limit struct {
 	Size        float64   // in sub-requests, from floor to ceiling
 	overshot    bool      // it was decreased at least once; until then it doubles while in use
@@ -42,20 +39,6 @@
 	blocked     bool      // a query did not fit in the current window
 	single      holdTime  // of reads and orders, which go to one shard
 	fanOut      holdTime  // of searches, which go to all shards
-	byRoom      bool      // hold times are ignored; the fields below are used
-	ended       int       // requests that ended in the current window
-	short       int       // of these, those that lacked room
-	calm        int       // windows since the limit last shrank
-	largest     int       // greatest cost of a request that ended in the current window, in sub-requests
-}
-
-// signs are what a request that ended shows of the room at replicas. It is an
-// immutable value.
-type signs struct {
-	cost     int  // of the request, in sub-requests; 0 for a query, whose signs come by other methods
-	attempts int  // attempts that were sent
-	refused  int  // of these, those that replicas refused as full
-	short    bool // too many parts found no room, or the answer was late for lack of room
 }
 
 // holdTime collects the time from admission to end of queries, queueing included.
@@ -73,29 +56,6 @@
 	return Limit{Size: float64(min(ceiling, startFactor*floor)), floor: float64(floor), ceiling: float64(ceiling)}
 }
 
-// NewRoomLimit returns a limit by room, which starts at the ceiling: requests are
-// refused only after signs of lack of room.
-func NewRoomLimit(floor, ceiling int) Limit {
-	return Limit{
-		Size: float64(ceiling), overshot: true, floor: float64(floor), ceiling: float64(ceiling), byRoom: true,
-	}
-}
-
-// withSigns returns the limit after a request ended.
-func (l Limit) withSigns(s signs) Limit {
-	if s.cost == 0 {
-		return l
-	}
-	l.ended++
-	l.attempts += s.attempts
-	l.refused += s.refused
-	if s.short {
-		l.short++
-	}
-	l.largest = max(l.largest, s.cost)
-	return l
-}
-
 // WithRunning returns the limit after the number of running sub-requests changed.
 func (l Limit) WithRunning(running int) Limit {
 	l.peak = max(l.peak, float64(running))
@@ -138,51 +98,29 @@
 // WithAdjustment returns the limit adjusted by the current window, if that has
 // lasted for windowTime and has minAttempts attempts or minQueries queries.
 func (l Limit) WithAdjustment(now time.Time) Limit {
-	enough := l.attempts >= minAttempts || l.single.queries+l.fanOut.queries+l.ended >= minQueries
+	enough := l.attempts >= minAttempts || l.single.queries+l.fanOut.queries >= minQueries
 	if now.Sub(l.windowStart) < windowTime || !enough {
 		return l
 	}
 	used := l.blocked || l.peak >= l.Size*inUseShare
-	factor := l.factor()
-	l.calm++
+	factor := min(l.single.factor(), l.fanOut.factor())
+	if float64(l.refused) > maxRefusedShare*float64(l.attempts) {
+		factor = min(factor, refusalFactor)
+	}
 	switch {
 	case factor < 1:
 		l.Size = max(l.floor, min(l.Size, l.peak)*factor)
-		l.overshot, l.calm = true, 0
+		l.overshot = true
 	case used && !l.overshot:
 		l.Size = min(l.ceiling, 2*l.Size)
 	case used:
-		l.Size = min(l.ceiling, l.Size+max(1, l.Size*growthShare, roomGrowth*float64(l.calm*l.largest)))
+		l.Size = min(l.ceiling, l.Size+max(1, l.Size*growthShare))
 	}
 	l.single, l.fanOut = l.single.nextWindow(), l.fanOut.nextWindow()
 	l.windowStart, l.attempts, l.refused, l.peak, l.blocked = now, 0, 0, 0, false
-	l.ended, l.short, l.largest = 0, 0, 0
 	return l
 }
 
-// factor returns the factor for the limit by the current window: 1, or less when queries
-// were queueing or replicas had no room.
-func (l Limit) factor() float64 {
-	refused := 0.0
-	if l.attempts > 0 {
-		refused = float64(l.refused) / float64(l.attempts)
-	}
-	if !l.byRoom {
-		factor := min(l.single.factor(), l.fanOut.factor())
-		if refused > maxRefusedShare {
-			factor = min(factor, refusalFactor)
-		}
-		return factor
-	}
-	if l.ended > 0 {
-		refused = max(refused, float64(l.short)/float64(l.ended))
-	}
-	if refused <= maxRefusedShare {
-		return 1
-	}
-	return min(refusalFactor, max(minFactor, 1-refused))
-}
-
 func (h holdTime) with(hold time.Duration) holdTime {
 	h.sum += hold
 	h.queries++
@@ -198,14 +136,20 @@
 	if h.queries < minQueries || h.sum <= 0 {
 		return 1
 	}
-	baseline := h.shortest
-	if h.baseline > 0 {
-		baseline = min(h.baseline, h.shortest)
-	}
+	baseline := h.reference()
 	mean := float64(h.sum) / float64(h.queries)
 	return max(minFactor, min(1, slowFactor*float64(baseline)/mean))
 }
 
+// reference returns the shortest time of this window and, drifted, of earlier ones. It
+// is 0 for none yet.
+func (h holdTime) reference() time.Duration {
+	if h.baseline == 0 || h.shortest == 0 {
+		return max(h.baseline, h.shortest)
+	}
+	return min(h.baseline, h.shortest)
+}
+
 // nextWindow returns the hold time for a new window, with the current window
 // merged into the baseline.
 func (h holdTime) nextWindow() holdTime {
--- a/plan/queue.go
+++ b/plan/queue.go
@@ -68,18 +68,23 @@
 	service     string
 	ranked      bool // flows are ordered by rank, and the limit is one by room
 	flows       map[flowKey]*flow
-	served      servedShare // of all flows, if they are ranked
-	finishTag   float64     // finish tag of the query that was admitted last, among the service queues
-	limit       Limit
+	served      servedShare   // of all flows, if they are ranked
+	finishTag   float64       // finish tag of the query that was admitted last, among the service queues
+	limit       Limit         // of queries
+	room        roomLimit     // of tenants' requests
 	running     int           // sub-requests admitted and not released
+	occupancy   occupancy     // mean of running
 	waiting     int           // queries in all flows
 	virtualTime float64       // start tag of the query that was admitted last
 	meanHold    time.Duration // moving average of the time from admission to release
 }
 
-// fits reports whether a query of the given cost is within the service's limit.
-// A query that costs more than the limit runs alone.
-func (sq *serviceQueue) fits(cost int) bool {
+// fits reports whether a query of the flow and of the given cost is within the
+// service's limit. A query that costs more than the limit runs alone.
+func (sq *serviceQueue) fits(f *flow, cost int, now time.Time) bool {
+	if sq.ranked {
+		return sq.fitsRanked(f, cost, now)
+	}
 	return sq.running == 0 || float64(sq.running+cost) <= sq.limit.Size
 }
 
@@ -92,12 +97,14 @@
 	return sq.limit.Size / sq.meanHold.Seconds()
 }
 
-func (sq *serviceQueue) begin(cost int) {
+func (sq *serviceQueue) begin(cost int, now time.Time) {
+	sq.occupancy = sq.occupancy.with(sq.running, now)
 	sq.running += cost
 	sq.limit = sq.limit.WithRunning(sq.running)
 }
 
-func (sq *serviceQueue) end(cost int, hold time.Duration) {
+func (sq *serviceQueue) end(cost int, hold time.Duration, now time.Time) {
+	sq.occupancy = sq.occupancy.with(sq.running, now)
 	sq.running -= cost
 	if sq.meanHold == 0 {
 		sq.meanHold = hold
@@ -134,14 +141,14 @@
 // next returns the service queue and the flow whose first query is to be served
 // next, among those that their plan's rate and their service's limit allow. It
 // returns nil when there is none.
-func (m *Admitter) next() (*serviceQueue, *flow) {
+func (m *Admitter) next(now time.Time) (*serviceQueue, *flow) {
 	var best *serviceQueue
 	var first *flow
 	for _, sq := range m.queueOrder {
 		if sq.waiting == 0 || (best != nil && max(m.virtualTime, sq.finishTag) >= max(m.virtualTime, best.finishTag)) {
 			continue
 		}
-		if f := m.nextFlow(sq); f != nil && sq.fits(f.waiting[0].cost) {
+		if f := m.nextFlow(sq); f != nil && sq.fits(f, f.waiting[0].cost, now) {
 			best, first = sq, f
 		}
 	}
@@ -189,13 +196,13 @@
 // the service: the flow's backlog divided by the flow's share of the service's
 // throughput. It is 0 for a flow without a backlog, so that a flow's first query
 // always gets a chance. Share is the wait for tokens of the plan alone.
-func (m *Admitter) expectedWait(sq *serviceQueue, f *flow, cost int) (load, share time.Duration) {
+func (m *Admitter) expectedWait(sq *serviceQueue, f *flow, cost int, now time.Time) (load, share time.Duration) {
 	if sq.ranked {
 		return sq.expectedRankedWait(f), 0
 	}
 	share = m.quotas[f.plan].tokenDelay(float64(m.backlogCost[f.plan]))
 	rate := sq.throughput()
-	if rate > 0 && (sq.waiting > 0 || !sq.fits(cost)) {
+	if rate > 0 && (sq.waiting > 0 || !sq.fits(f, cost, now)) {
 		rate *= m.flowWeight(f) / m.totalWeight(sq, f)
 		load = time.Duration(float64(f.backlog) / rate * float64(time.Second))
 	}
--- a/plan/tenants.go
+++ b/plan/tenants.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
 )
@@ -41,8 +40,9 @@
 	if objective <= 0 {
 		objective = r.Deadline.Sub(started)
 	}
+	flow := flowKey{customer: r.Tenant, rank: r.Priority}
 	sq, admitted, err := t.Admitter.admit(ctx, request{
-		service: p.name, flow: flowKey{customer: r.Tenant, rank: r.Priority}, ranked: true,
+		service: p.name, flow: flow, ranked: true,
 		allowance: ramp.Allowance{Share: 1}, cost: r.Cost, deadline: r.Deadline, objective: objective,
 		divisor: rankedWaitDivisor, priorWait: r.PriorWait,
 	})
@@ -53,9 +53,12 @@
 		seen := signs{cost: r.Cost}
 		if refused := findRefusal(err); refused == nil || refused.Reason != ramp.ReasonCaller {
 			seen = t.signsOf(r, result)
-			seen.short = seen.short || t.lateForLoad(r, p, started, refused)
+			overdue := t.Clock.Now().Sub(started) > objective
+			seen.inTime = refused == nil && !overdue
+			late := overdue && (refused == nil || refused.Reason == ramp.ReasonDeadline)
+			seen.short = seen.short || late && (t.turnedAway(r, result) || t.exceedsSlots(p))
 		}
-		t.Admitter.release(sq, r.Cost, admitted, seen)
+		t.Admitter.release(sq, flow, r.Cost, admitted, seen)
 	}, nil
 }
 
@@ -111,18 +114,22 @@
 	return false
 }
 
-// lateForLoad reports whether a request exceeded its objective while this daemon alone
-// had more sub-requests in progress than the replicas of its pool run at once. With less
-// in progress, slow replicas or other daemons may be the cause.
-func (t *TenantAdmitter) lateForLoad(
-	r ramp.AdmissionRequest, p pool, started time.Time, refused *ramp.RefusedError,
-) bool {
-	if refused != nil && refused.Reason != ramp.ReasonDeadline {
-		return false
-	}
-	if r.Route.Objective <= 0 || t.Clock.Now().Sub(started) <= r.Route.Objective {
-		return false
+// turnedAway reports whether too many parts of a request were given back unsent by a
+// daemon with replicas of their service.
+func (t *TenantAdmitter) turnedAway(r ramp.AdmissionRequest, result ramp.RelayResult) bool {
+	services := make(map[string]bool)
+	for i := range result.Attempts {
+		if a := &result.Attempts[i]; a.Outcome == ramp.NotStarted {
+			services[a.Shard.ID] = true
+		}
 	}
+	return r.Route.Gathered() && 2*len(services) > len(r.Route.Gather)-r.Route.Quorum()
+}
+
+// exceedsSlots reports whether this daemon alone has more sub-requests of the pool in
+// progress than its replicas run at once. With less in progress, slow replicas or other
+// daemons may be why a request is late.
+func (t *TenantAdmitter) exceedsSlots(p pool) bool {
 	slots := 0
 	for _, service := range p.services {
 		n, usable := t.Capacity(service)
