--- a/plan/room.go
+++ b/plan/room.go
@@ -16,7 +16,11 @@
 	// falls at once when most requests lacked room. Requests of a surge last for seconds
 	// only, so steps by half take too long.
 	busyFactor = 1.5
-	// roomGrowth is the part of a request by which a limit grows for each window since it
+	// minShort is the number of requests without room in two windows that count. A single
+	// one may be due to slow replicas.
+	minShort   = 2
+	maxWindows = 8.0 // multiples of windowTime that one window counts for
+	// roomGrowth is the part of a request by which a limit grows for each windowTime since it
 	// shrank, so that it passes one request after about a second and ten after three.
 	roomGrowth = 0.0625
 )
@@ -55,7 +59,8 @@
 type roomLimit struct {
 	sizes   [classes]float64 // in sub-requests, from 1 to ceiling
 	ceiling float64          // at least 1
-	calm    [classes]int     // windows since the limit of the class last shrank
+	calm    [classes]float64 // time since the limit of the class last shrank, in multiples of windowTime
+	doubt   int              // requests that lacked room in the last window, if they were too few to count
 	cutAt   time.Time        // when a limit last shrank by refusalFactor or more; zero for never
 	rate    float64          // sub-requests per second of requests with room, over the last windows; 0 for none yet
 	hold    holdTime         // of requests
@@ -123,11 +128,12 @@
 }
 
 // withAdjustment returns the limit adjusted by the current window, if that has lasted for
-// windowTime and has minAttempts attempts or minQueries requests.
+// windowTime and has minQueries requests.
 func (l roomLimit) withAdjustment(now time.Time) roomLimit {
-	if now.Sub(l.windowStart) < windowTime || l.attempts < minAttempts && l.ended < minQueries {
+	if now.Sub(l.windowStart) < windowTime || l.ended < minQueries {
 		return l
 	}
+	windows := min(maxWindows, float64(now.Sub(l.windowStart))/float64(windowTime))
 	l = l.withRate(now)
 	lacking, yields := l.lacking(), l.yielding()
 	if yields == urgentClass && l.freshShort == 0 {
@@ -136,7 +142,7 @@
 	cutAt := l.cutAt
 	for c := range classes {
 		size := l.sizes[c]
-		l.calm[c]++
+		l.calm[c] += windows
 		switch {
 		case lacking > maxRefusedShare && c >= yields:
 			l.sizes[c], l.calm[c] = l.cut(size, lacking), 0
@@ -144,7 +150,7 @@
 				cutAt = now
 			}
 		case lacking <= maxRefusedShare && (l.blocked[c] || l.peak >= size*inUseShare):
-			step := max(1, size*growthShare, roomGrowth*float64(l.calm[c]*l.largest))
+			step := max(1, size*growthShare, roomGrowth*windows*l.calm[c]*float64(l.largest))
 			l.sizes[c] = min(l.ceiling, size+step)
 		}
 	}
@@ -152,6 +158,9 @@
 		sizes: l.sizes, ceiling: l.ceiling, calm: l.calm, cutAt: cutAt, rate: l.rate, hold: l.hold.nextWindow(),
 		windowStart: now,
 	}
+	if lacking <= maxRefusedShare {
+		next.doubt = l.short
+	}
 	for c, n := range l.admitted {
 		next.admitted[c] = n * admittedDecay
 	}
@@ -172,10 +181,10 @@
 // room, whichever is greater.
 func (l roomLimit) lacking() float64 {
 	share := 0.0
-	if l.attempts > 0 {
+	if l.attempts >= minAttempts {
 		share = float64(l.refused) / float64(l.attempts)
 	}
-	if l.ended > 0 {
+	if l.short+l.doubt >= minShort {
 		share = max(share, float64(l.short)/float64(l.ended))
 	}
 	return share
--- a/replica/concurrency.go
+++ b/replica/concurrency.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
 )
@@ -10,6 +11,11 @@
 // that send to it. It exceeds 1 since their loads differ.
 const sharedFactor = 2
 
+// slowQueueRatio is the multiple of assumedLatency, to which attempts on all routes are
+// scaled, from which requests do not wait in the queue of a replica. With it, an objective
+// of a few median latencies leaves no time for a wait behind others and for a slow reply.
+const slowQueueRatio = 2
+
 // concurrency bounds how many attempts of this daemon may be in flight at one replica. It
 // handles replicas with more requests than they run at once: any attempt may fill their
 // slots, but only urgent first attempts may enter their own queues. So an urgent request
@@ -22,13 +28,14 @@
 	holders     int  // daemons that send to the replica; at least 1
 	rank        int
 	repeat      bool
+	slow        bool // its replies take much longer than those of other replicas
 }
 
 // concurrencyFor returns the bound for an attempt at a replica of the given capacity.
-func concurrencyFor(r ramp.PickRequest, capacity int) concurrency {
+func concurrencyFor(r ramp.PickRequest, capacity int, slow bool) concurrency {
 	return concurrency{
 		connections: r.Limit, ordered: r.Ordered, capacity: capacity, holders: max(1, r.Holders), rank: r.Priority,
-		repeat: r.Repeat,
+		repeat: r.Repeat, slow: slow,
 	}
 }
 
@@ -40,7 +47,10 @@
 	}
 	limit := c.base()
 	switch {
+	case c.slow:
+		limit = part(c.capacity, c.holders)
 	case c.repeat:
+		limit = max(1, limit-part(limit, 4))
 	case c.rank <= 0:
 		limit += c.base()
 	case c.rank == 1:
@@ -61,6 +71,12 @@
 	return min(c.capacity, max(part(sharedFactor*c.capacity, c.holders), part(c.capacity, 2)))
 }
 
+// slowToQueue reports whether the replica's replies take so long, compared with others,
+// that requests should wait for others rather than in its queue.
+func (s replicaStats) slowToQueue(now time.Time) bool {
+	return s.fadedLatency(now) > slowQueueRatio*float64(assumedLatency)
+}
+
 // part returns one part in divisor of n, rounded up.
 func part(n, divisor int) int { return int(math.Ceil(float64(n) / float64(divisor))) }
 
