--- a/replica/pick.go
+++ b/replica/pick.go
@@ -246,7 +246,7 @@
 			to.info = to.info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= concurrencyFor(bound, r.Capacity).limit() {
+		if s.InFlight >= concurrencyFor(bound, r.Capacity, s.slowToQueue(now)).limit() {
 			to.info.Saturated++
 			continue
 		}
