--- a/replica/balance.go
+++ b/replica/balance.go
@@ -52,9 +52,9 @@
 // the latencies in the statistics are scaled.
 func newCandidate(s replicaStats, penalty float64, assumed time.Duration, now time.Time) candidate {
 	c := candidate{age: loadLife, sent: s.InFlight, penalty: penalty}
-	if age := s.signalsAge(now); s.signals.Load != nil && age < loadLife {
-		c.load, c.reported, c.age = bounded(*s.signals.Load), true, max(0, age)
-		c.sent = min(s.sentSinceSignals, s.InFlight)
+	if load, age, ok := s.recentLoad(now); ok {
+		c.load, c.reported, c.age = bounded(load), true, age
+		c.sent = min(s.sentSinceLoad, s.InFlight)
 	}
 	expected := time.Duration(s.fadedLatency(now) / float64(assumedLatency) * float64(assumed))
 	if s.Latency > 0 {
@@ -68,6 +68,16 @@
 	return c
 }
 
+// recentLoad returns the load that the replica last reported and the age of the report. It
+// reports false when there is none within loadLife.
+func (s replicaStats) recentLoad(now time.Time) (ramp.ReplicaLoad, time.Duration, bool) {
+	age := s.signalsAge(now)
+	if s.signals.Load == nil || age >= loadLife {
+		return ramp.ReplicaLoad{}, 0, false
+	}
+	return *s.signals.Load, max(0, age), true
+}
+
 // bounded returns the load with each figure within its bounds.
 func bounded(l ramp.ReplicaLoad) ramp.ReplicaLoad {
 	l.Slots = min(max(1, l.Slots), maxReportedSlots)
@@ -301,12 +311,12 @@
 	expected     float64 // see [Picker.expectedLatency]
 }
 
-// balanced returns the index of the option that gets an attempt, and the load by which it was
-// chosen, nil if it reported none. It reports false when its service is not balanced by
-// reported load. Only the options of the given health are considered.
+// balanced returns the index of the option that gets an attempt. It reports false when the
+// service is not balanced by reported load. Only the options of the given health are
+// considered.
 func (p *Picker) balanced(
 	request ramp.PickRequest, options []option, health ramp.Health, now time.Time,
-) (chosen int, load *ramp.ReplicaLoad, ok bool) {
+) (chosen int, ok bool) {
 	b := balance{senders: request.Senders, assumed: request.Latency}
 	if b.assumed <= 0 {
 		b.assumed = assumedLatency
@@ -320,13 +330,8 @@
 		}
 	}
 	if !b.active() {
-		return 0, nil, false
+		return 0, false
 	}
 	at := p.points.Update(request.Service, points.next)
-	i := b.choose(at.point())
-	chosen = indices[i]
-	if b.candidates[i].reported {
-		load = options[chosen].stats.signals.Load
-	}
-	return chosen, load, true
+	return indices[b.choose(at.point())], true
 }
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -60,7 +60,7 @@
 	displacedAt    time.Time // when another replica last answered at the address; zero for never
 	loggedAt       time.Time // when a change of the signals was last logged; zero for never
 
-	sentSinceSignals int // attempts placed since the signals came, those that ended included
+	sentSinceLoad int // attempts placed since the replica last reported its load, those that ended included
 }
 
 // forStart returns the statistics if they belong to the given start of the replica, and
@@ -79,7 +79,7 @@
 	if s.InFlight == 0 {
 		s.lastProgress = now
 	}
-	s.sentSinceSignals++
+	s.sentSinceLoad++
 	s.Load = s.WithPlaced()
 	s.condition = s.withRequest(now)
 	return s
@@ -203,10 +203,10 @@
 	if info.Candidates == 0 {
 		return ramp.Instance{}, info, false
 	}
-	if i, load, ok := p.balanced(request, options, info.Health, now); ok {
+	if i, ok := p.balanced(request, options, info.Health, now); ok {
 		best, shortest = options[i].registration, options[i].expected
-		if load != nil {
-			info = info.WithLoad(*load, options[i].stats.signalsAge(now))
+		if load, age, ok := options[i].stats.recentLoad(now); ok {
+			info = info.WithLoad(load, age)
 		}
 	}
 	info.ExpectedLatency, info.EntryAge = time.Duration(shortest), now.Sub(best.readAt)
@@ -288,7 +288,10 @@
 		if changed = s.signals != *a.Signals && now.Sub(s.loggedAt) >= signalsLogInterval; changed {
 			s.loggedAt = now
 		}
-		s.condition, s.sentSinceSignals = s.withSignals(*a.Signals, share, now), 0
+		s.condition = s.withSignals(*a.Signals, share, now)
+		if a.Signals.Load != nil {
+			s.sentSinceLoad = 0
+		}
 		return s
 	})
 	if changed {
