--- a/plan/allowance_test.go
+++ b/plan/allowance_test.go
@@ -72,6 +72,15 @@
 
 // newAllowanceFleet returns a fleet whose daemons were started two windows ago.
 func newAllowanceFleet(size int, tenants ...ramp.Tenant) *allowanceFleet {
+	f := newUnconfiguredFleet(size, tenants...)
+	f.publish(0)
+	f.configure(1, 0, tenants...)
+	f.now = f.now.Add(2 * quotaBounds.Window)
+	return f
+}
+
+// newUnconfiguredFleet returns a fleet whose daemons know neither each other nor tenants.
+func newUnconfiguredFleet(size int, tenants ...ramp.Tenant) *allowanceFleet {
 	f := &allowanceFleet{
 		manualClock: &manualClock{now: time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(1, 2)), tenants: tenants,
 		later: make(map[time.Duration][]func()), sent: make(map[string][]time.Duration),
@@ -80,9 +89,6 @@
 	for i := range size {
 		f.add(fmt.Sprintf("d%03d", i))
 	}
-	f.publish(0)
-	f.configure(1, 0, tenants...)
-	f.now = f.now.Add(2 * quotaBounds.Window)
 	return f
 }
 
@@ -215,7 +221,7 @@
 		for _, change := range f.later[f.elapsed] {
 			change()
 		}
-		if step := int(f.elapsed / allowanceStep); step%gossipSteps == 0 {
+		if step := int(f.elapsed / allowanceStep); step%gossipSteps == 0 && f.rule == nil {
 			f.gossip(step/gossipSteps + 1)
 		}
 		for _, t := range f.tenants {
@@ -389,13 +395,13 @@
 		for _, size := range fleetSizes {
 			for _, at := range []int{-1, 0} {
 				large := tenantNamed("large", largeRate, largeRate)
-				f := newAllowanceFleet(size, large)
+				f := newUnconfiguredFleet(size, large)
 				f.rule = c.rule()
 				playSurge(f, at)
 				fmt.Fprintf(&b, "%s, %d daemons, surge at daemon %d: %s\n", c.name, size, at, f.errors(large))
 			}
 			small := smallTenants()
-			f := newAllowanceFleet(size, small...)
+			f := newUnconfiguredFleet(size, small...)
 			f.rule = c.rule()
 			f.run(30*time.Second, -1, surge(1))
 			fmt.Fprintf(&b, "%s, %d daemons, 78 tenants: %s\n", c.name, size, f.errors(small...))
