plan: keep accounts while all daemons leave

Leaving daemons keep no accounts, so when a whole fleet was stopped, none was asked and half of the requests within an allowance were refused (135 of 270 in the model test with 38 daemons, now 0 of 282). A leaving daemon keeps an account if no other is left. Refusals state the age of the answer.

--- a/plan/allowance.go
+++ b/plan/allowance.go
@@ -197,17 +197,18 @@
 // holding is what a daemon knows of a tenant's allowance that another daemon keeps: tokens
 // in hand, or when one is due. It is an immutable value.
 type holding struct {
-	version  uint64    // version of the configuration of the request that was last answered
-	granter  string    // incarnation of the daemon that granted last
-	tokens   int       // tokens in hand
-	expires  time.Time // when the tokens in hand expire
-	dueAt    time.Time // when a token is due; zero if the last answer granted some
-	askAt    time.Time // when the other daemon is asked again
-	denied   int       // requests refused since the last grant
-	asking   int       // calls in progress
-	interval time.Time // start of the present interval, as long as the validity of a batch
-	count    int       // requests in the present interval
-	demand   int       // requests in the interval before it
+	version    uint64    // version of the configuration of the request that was last answered
+	granter    string    // incarnation of the daemon that granted last
+	tokens     int       // tokens in hand
+	expires    time.Time // when the tokens in hand expire
+	dueAt      time.Time // when a token is due; zero if the last answer granted some
+	askAt      time.Time // when the other daemon is asked again
+	answeredAt time.Time // last answer
+	denied     int       // requests refused since the last grant
+	asking     int       // calls in progress
+	interval   time.Time // start of the present interval, as long as the validity of a batch
+	count      int       // requests in the present interval
+	demand     int       // requests in the interval before it
 }
 
 // WithRequest returns the holding after another request, which counts towards the demand.
--- a/plan/allowance_limiter.go
+++ b/plan/allowance_limiter.go
@@ -176,6 +176,7 @@
 	now := l.Clock.Now()
 	return l.holdings.Update(r.Tenant, func(h holding) holding {
 		h.asking--
+		h.answeredAt = now
 		switch {
 		case !answered:
 			return h
@@ -198,8 +199,8 @@
 	return &ramp.RefusedError{
 		Reason: ramp.ReasonAllowance, Ran: ramp.NotRun,
 		RetryAfter: max(after, 0) + time.Duration(jitter*float64(time.Second)),
-		Detail: fmt.Sprintf("tenant=%s rate=%g burst=%g version=%d due=%v refused=%d account=%s",
-			r.Tenant, r.Rate, r.Burst, r.Version, after, h.denied, h.granter),
+		Detail: fmt.Sprintf("tenant=%s rate=%g burst=%g version=%d due=%v refused=%d account=%s age=%v",
+			r.Tenant, r.Rate, r.Burst, r.Version, after, h.denied, h.granter, l.Clock.Now().Sub(h.answeredAt)),
 	}
 }
 
@@ -222,18 +223,33 @@
 	}
 }
 
+// keepers returns the daemons that may keep the account of a tenant, the first of which is
+// its owner. Leaving ones do only if no other is left.
+func keepers(ranked []ramp.RankedDaemon) []ramp.RankedDaemon {
+	var staying []ramp.RankedDaemon
+	for _, d := range ranked {
+		if !d.Leaving {
+			staying = append(staying, d)
+		}
+	}
+	if len(staying) == 0 {
+		return ranked[:min(accountDaemons, len(ranked))]
+	}
+	return staying
+}
+
 // askOwner asks the daemons that may keep the tenant's account in their order, until one
 // answers. It reports false when none does.
 func (l *AllowanceLimiter) askOwner(
 	ctx context.Context, r ramp.TokenRequest,
 ) (grant ramp.TokenGrant, granter string, answered bool) {
 	calls := 0
-	for _, d := range l.Ranker.Ranked(r.Tenant, accountDaemons) {
-		if d.Incarnation == l.Self.Incarnation && !d.Leaving {
+	for _, d := range keepers(l.Ranker.Ranked(r.Tenant, accountDaemons)) {
+		if d.Incarnation == l.Self.Incarnation {
 			r.Tokens = 1 // a batch would save no call
 			return l.HandleTokens(ctx, r), d.Incarnation, true
 		}
-		if d.Leaving || d.Unresponsive || calls == maxTokenCalls || l.isSilent(d.Daemon) {
+		if d.Unresponsive || calls == maxTokenCalls || l.isSilent(d.Daemon) {
 			continue
 		}
 		calls++
@@ -375,11 +391,8 @@
 	if changed := l.Ranker.ChangedAt(); changed.After(s.since) {
 		s.since = changed
 	}
-	for _, d := range ranked {
-		if !d.Leaving {
-			s.first = d.Incarnation == l.Self.Incarnation
-			break
-		}
+	if candidates := keepers(ranked); len(candidates) > 0 {
+		s.first = candidates[0].Incarnation == l.Self.Incarnation
 	}
 	return s
 }
--- a/plan/allowance_test.go
+++ b/plan/allowance_test.go
@@ -508,6 +508,13 @@
 		f.publish(maxSpread)
 		f.after(leaseLife, func() { f.remove(d) })
 	}},
+	{"whole fleet leaves", func(f *allowanceFleet, _ *allowanceDaemon) {
+		for _, d := range f.daemons {
+			d.Leaving = true
+			d.members.MarkSeen(d.Daemon)
+		}
+		f.publish(time.Second)
+	}},
 }
 
 // pauseFor returns a failure: the daemon stands still for a time.
