--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -108,7 +108,7 @@
 		PeerAddress: f.host + ":8106",
 		ApplyBound:  3 * time.Second, DrainBound: 3 * time.Second, GracePeriod: 3 * time.Second, AddressTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 20,
-		RetryWindow: 10 * time.Second,
+		RetryWindow: 10 * time.Second, Quota: ramp.QuotaBounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20},
 	}
 	e, err := daemon.NewEdge(d, func() (ramp.Deployment, error) { return d, nil }, f.host+":9464", "/metrics",
 		ramp.SystemClock{}, io.Discard, slog.LevelInfo)
@@ -209,6 +209,7 @@
 	time.Sleep(time.Second)
 	record("after an older version was stored", f.sendRequest(http.MethodGet, "/other/x", ""))
 	is.Equal(f.statusCode(9464, "/metrics"), http.StatusOK)
+	is.Equal(f.statusCode(9464, "/allowances"), http.StatusOK)
 	f.store.SetFault("", standin.Fault{Down: true})
 	record("while the store is down", f.sendRequest(http.MethodGet, "/all/x", ""))
 	f.store.SetFault("", standin.Fault{})
--- a/plan/allowance_limiter.go
+++ b/plan/allowance_limiter.go
@@ -518,7 +518,7 @@
 
 // Views returns the accounts that this daemon keeps, sorted by tenant.
 func (l *AllowanceLimiter) Views() []ramp.AllowanceView {
-	var views []ramp.AllowanceView
+	views := make([]ramp.AllowanceView, 0, l.accounts.Len())
 	l.accounts.Each(func(tenant string, a account) bool {
 		views = append(views, a.view(tenant))
 		return true
