daemon, query, docs: count and log requests of tenants, and say how to read refusals

Cause: nothing told an operator which tenant was refused, or by which version and confirmation. A test runs a daemon with two tenants and searches its log, metrics, views and the requests at a replica for the keys; another one looks at a collect request.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -161,6 +161,7 @@
 		FleetSize: e.observer.FleetSize, ReplyMargin: replyMargin, Observe: e.observeRelay,
 		AnswerBy: e.answersDueAt, AnswersDue: e.answersDue, Resumed: e.pauses.Resumed,
 		ObserveAttempt: e.metrics.ObserveAttempt, ObserveWithheld: e.metrics.ObserveWithheld,
+		ConfirmedAge: e.observer.ConfirmedAge,
 	}
 	if e.observer.Authorization != nil {
 		relay.Authorizer = e.observer.Authorization
--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -40,6 +40,9 @@
 	host   string
 	store  *standin.Platform
 	server *httptest.Server
+
+	log        io.Writer     // of the daemon
+	revocation time.Duration // bound on revocations; 0 for none
 }
 
 func newEdgeFixture(t *testing.T, number int) *edgeFixture {
@@ -47,6 +50,7 @@
 	pid := os.Getpid()
 	f := &edgeFixture{
 		t: t, host: fmt.Sprintf("127.%d.%d.%d", 128+number, pid>>8&0xff, pid&0xff|1), store: standin.NewPlatform(),
+		log: io.Discard,
 	}
 	f.server = httptest.NewServer(f.store.Handler())
 	t.Cleanup(f.server.Close)
@@ -108,10 +112,10 @@
 		PeerAddress: f.host + ":8106",
 		ApplyBound:  3 * time.Second, DrainBound: 3 * time.Second, GracePeriod: 3 * time.Second, AddressTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 20,
-		RetryWindow: 10 * time.Second,
+		RetryWindow: 10 * time.Second, RevocationBound: f.revocation,
 	}
 	e, err := daemon.NewEdge(d, func() (ramp.Deployment, error) { return d, nil }, f.host+":9464", "/metrics",
-		ramp.SystemClock{}, io.Discard, slog.LevelInfo)
+		ramp.SystemClock{}, f.log, slog.LevelDebug)
 	is.New(f.t).NoErr(err)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	ended := make(chan error, 1)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,7 @@
 const (
 	reportInterval = time.Second // between reports of the counters
 	maxTagValues   = 512         // plans, routes and services with their own tag value
+	maxTenants     = 256         // tenants with their own tag value
 	otherTagValue  = "other"     // tag value of all further names
 )
 
@@ -26,6 +27,7 @@
 	tagOutcome = "outcome"
 	tagRoute   = "route"
 	tagService = "service"
+	tagTenant  = "tenant"
 )
 
 // latencyBuckets are the upper bounds of the latency histograms' buckets.
@@ -42,6 +44,7 @@
 	closer    io.Closer
 	reporter  reporting.Reporter
 	tagValues *ramp.Table[string, bool] // plans and routes with their own tag value
+	tenants   *ramp.Table[string, bool] // tenants with their own tag value
 }
 
 func newMetrics() *metrics {
@@ -53,6 +56,7 @@
 	}, reportInterval)
 	return &metrics{
 		scope: scope, closer: closer, reporter: reporter, tagValues: ramp.NewTable[string, bool](ramp.RankReports),
+		tenants: ramp.NewTable[string, bool](ramp.RankReports),
 	}
 }
 
@@ -121,13 +125,19 @@
 	if name == "" {
 		return "none"
 	}
-	if seen, _ := m.tagValues.Get(name); seen {
+	return boundedValue(m.tagValues, maxTagValues, name)
+}
+
+// boundedValue returns the tag value for a name: the name itself if it is among the first
+// ones, up to the limit, and otherwise otherTagValue. The table holds the names so far.
+func boundedValue(seen *ramp.Table[string, bool], limit int, name string) string {
+	if known, _ := seen.Get(name); known {
 		return name
 	}
-	if m.tagValues.Len() >= maxTagValues {
+	if seen.Len() >= limit {
 		return otherTagValue
 	}
-	m.tagValues.Put(name, true)
+	seen.Put(name, true)
 	return name
 }
 
@@ -179,6 +189,11 @@
 	m.scope.Tagged(map[string]string{tagRoute: route, tagOutcome: relayOutcome(d, err)}).Counter("messages").Inc(1)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Histogram("delivery", latencyBuckets).RecordDuration(d.Elapsed)
 	m.scope.Tagged(map[string]string{tagRoute: route}).Counter("missing_parts").Inc(int64(d.MissingParts))
+	if d.Tenant != "" {
+		m.scope.Tagged(map[string]string{
+			tagTenant: boundedValue(m.tenants, maxTenants, d.Tenant), tagOutcome: relayOutcome(d, err),
+		}).Counter("tenant_messages").Inc(1)
+	}
 }
 
 // relayOutcome returns "whole", "partial", "passed" for a replica's response without
--- a/query/relay.go
+++ b/query/relay.go
@@ -62,6 +62,10 @@
 	// have waited for any time before they were read. It is nil if that is not known.
 	Resumed func() bool
 
+	// ConfirmedAge returns the age of the last confirmation of the configuration, if there was
+	// one. It is nil if that is not known.
+	ConfirmedAge func() (time.Duration, bool)
+
 	// ObserveWithheld is called for each attempt that was given up because all replicas
 	// of the service that were left accept no request of this daemon yet.
 	ObserveWithheld func(service string)
@@ -211,6 +215,7 @@
 	}
 	if refused := findRefusal(err); refused != nil {
 		attributes = append(attributes, "ran", refused.Ran, "reason", refused.Reason, "detail", refused.Detail)
+		attributes = append(attributes, r.confirmation(refused.Reason)...)
 		r.Log.Warn("request failed", append(attributes, "account", formatAttempts(result.Attempts))...)
 		return
 	}
@@ -225,6 +230,19 @@
 	r.Log.Info("request answered", attributes...)
 }
 
+// confirmation returns the attribute of a log line that tells the age of the configuration,
+// for a refusal that it decided.
+func (r *Relay) confirmation(reason ramp.Reason) []any {
+	if r.ConfirmedAge == nil || reason != ramp.ReasonKey && reason != ramp.ReasonUnconfirmed {
+		return nil
+	}
+	age, known := r.ConfirmedAge()
+	if !known {
+		return []any{"age", "none"}
+	}
+	return []any{"age", age}
+}
+
 // countRepeats returns the number of retries and hedges.
 func countRepeats(attempts []ramp.Attempt) int {
 	n := 0
