--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -172,6 +172,7 @@
 		Admission: &plan.TenantAdmitter{
 			Admitter: e.admitter, Clock: e.clock, Log: e.log, Routes: e.routes, Capacity: e.picker.Capacity,
 		},
+		ConfirmedAge: e.observer.ConfirmedAge,
 	}
 	if e.observer.Authorization != nil {
 		relay.Authorizer = e.observer.Authorization
