fleet, replica, platform: limit the requests to cold replicas, read reported load

Cause: a replica that has just started crashes under the load that a warm one bears, and nothing held the sum over all daemons. The load that replicas report was not read. Change: the configuration states warm-up time and rate of a service. fleet.ColdShares divides the rate of a cold replica among a few members, each of which holds at most one token of a bucket in the picker; a share that rises counts once the list of members has been the same for 3 s, and a daemon that others may no longer count as a member has none. The picker takes the token in the critical section in which it counts the attempt, and looks for another replica if it is gone. platform decodes load and warm-up time of responses into ramp.Signals; the picker keeps the newest load with its time (condition.load) and leaves both out of what it compares to log changes. The warm-up time in the first entry of a start is reduced by the time since the start.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -80,6 +80,7 @@
 	members     *fleet.Members
 	instances   *replica.Instances
 	picker      *replica.Picker
+	coldShares  *fleet.ColdShares
 	metrics     *metrics
 	burnRates   *burn.Recorder
 	idleCloser  *idleCloser
@@ -127,13 +128,14 @@
 	store := platform.NewClient(d.StoreAddress)
 	e.observer = &fleet.Observer{
 		Clock: clock, Log: e.log, Self: e.self, Store: store, Registry: platform.Registry{Store: store},
-		Translator: platform.Translator{}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
+		Translator: platform.Translator{Now: clock.Now}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
 		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
 	}
 	e.observer.Init()
 	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
-	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock).WithRouting(e.routes)
+	e.coldShares = fleet.NewColdShares(e.self, e.members, d.Warmup, e.observer.InTouch, e.observer.FleetSize, clock)
+	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock).WithRouting(e.routes, e.coldShares)
 	e.peerServer = peer.NewServer(edgePeerHandler{e.observer}, "", clock)
 	e.idleCloser = newIdleCloser(e.routes, clock)
 	e.newServers(metricsAddress, metricsPath)
@@ -212,6 +214,7 @@
 		close(observerDone)
 	}()
 	go e.watchSettings(serving, hangups)
+	go e.coldShares.Run(serving)
 	go e.idleCloser.Run(serving)
 	go e.pauses.Run(serving)
 	e.log.Info("daemon started", "daemon", e.self.ID, "incarnation", e.self.Incarnation, "domain", e.self.Domain,
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -159,6 +159,14 @@
 	return o.Clock.Now().Sub(o.started) - time.Duration(at), at != 0
 }
 
+// InTouch reports whether other daemons count this one as a member, as far as it knows: its
+// view was confirmed within the lifetime of its registration and contains the registration.
+func (o *Observer) InTouch() bool {
+	age, known := o.ConfirmedAge()
+	_, registered := o.registered.Get(o.Self.Incarnation)
+	return known && age < leaseTTL && registered
+}
+
 // shouldWatch reports whether this daemon watches the store itself. All daemons
 // of a small fleet do; in a larger fleet the watchers of each failure domain
 // do, and any daemon whose last confirmation from the store is too old.
--- a/operator/belief.go
+++ b/operator/belief.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -63,6 +64,8 @@
 	Leaving   bool     `json:"leaving,omitempty"` // it said that it shuts down
 	Refuses   string   `json:"refuses,omitempty"` // time until it accepts a request of this daemon
 	SaidAge   string   `json:"said,omitempty"`    // age of what it last said of itself
+	Cold      string   `json:"cold,omitempty"`    // time for which it is still cold
+	Load      string   `json:"load,omitempty"`    // requests that run and wait, slots, slowdown, and the age of that
 }
 
 // DaemonView is the daemon's view of another daemon.
@@ -116,6 +119,13 @@
 			encoded.RateLimit, encoded.Share = &v.Signals.RateLimit, v.Share
 		}
 		encoded.Leaving = v.Signals.Leaving
+		if v.ColdLeft > 0 {
+			encoded.Cold = v.ColdLeft.Round(ageUnit).String()
+		}
+		if l := v.Load; l.Slots > 0 {
+			encoded.Load = fmt.Sprintf("%d running, %d waiting, %d slots, slowdown %.3g, %s ago",
+				l.Running, l.Waiting, l.Slots, l.Slowdown, v.LoadAge.Round(ageUnit))
+		}
 		if v.Delay > 0 {
 			encoded.Refuses = v.Delay.Round(ageUnit).String()
 		}
@@ -188,10 +198,16 @@
 
 // says returns a short text of what the replica said of itself, or "-".
 func (r ReplicaView) says() string {
+	var said []string
+	if r.Cold != "" {
+		said = append(said, "cold for "+r.Cold)
+	}
+	if r.Load != "" {
+		said = append(said, r.Load)
+	}
 	if r.SaidAge == "" {
-		return "-"
+		return cmp.Or(strings.Join(said, ", "), "-")
 	}
-	var said []string
 	if r.RateLimit != nil {
 		said = append(said, fmt.Sprintf("limit %g (share %.2g)", *r.RateLimit, r.Share))
 	}
--- a/relay.go
+++ b/relay.go
@@ -143,6 +143,9 @@
 	Signals      Signals       // what the replica last said of itself; zero for nothing
 	SignalsAge   time.Duration // age of Signals; 0 for none
 	Delay        time.Duration // until it accepts a request of this daemon; 0 if it does
+	ColdLeft     time.Duration // for which it is still cold
+	Load         ReplicaLoad   // load that it last reported; zero for none
+	LoadAge      time.Duration // age of Load; 0 for none
 	Share        float64       // requests per second of this daemon under the replica's rate limit, if there is one
 }
 
--- a/replica/evacuation.go
+++ b/replica/evacuation.go
@@ -91,19 +91,9 @@
 
 // returnTime returns the time over which load returns to the replicas of a service after
 // an evacuation.
-func (p *Picker) returnTime(service string) time.Duration {
-	over := p.warmup(service).Duration
-	if over <= 0 {
+func returnTime(w ramp.Warmup) time.Duration {
+	if w.Duration <= 0 {
 		return defaultReturnTime
 	}
-	return min(over, maxReturnTime)
-}
-
-// warmup returns how the replicas of the service start, the zero value if it is not known.
-func (p *Picker) warmup(service string) ramp.Warmup {
-	if p.routing == nil {
-		return ramp.Warmup{}
-	}
-	routing, _ := p.routing.Current()
-	return routing.Warmups[service]
+	return min(w.Duration, maxReturnTime)
 }
--- a/replica/limit.go
+++ b/replica/limit.go
@@ -84,10 +84,13 @@
 
 // condition is what a start of a replica last said of itself. It is an immutable value.
 type condition struct {
-	signals      ramp.Signals
-	heardAt      time.Time // when the signals came; zero for never
-	leavingSince time.Time // when it first said that it shuts down, which is final; zero for never
-	refusesUntil time.Time // end of the longest time for which it refused requests in advance; zero for none
+	signals      ramp.Signals // without those that differ in each response
+	heardAt      time.Time    // when the signals came; zero for never
+	load         reportedLoad // newest load that it reported
+	coldUntil    time.Time    // end of its warm-up by the newest response that stated it; zero for none
+	cold         tokenBucket  // requests that this daemon may send while it is cold
+	leavingSince time.Time    // when it first said that it shuts down, which is final; zero for never
+	refusesUntil time.Time    // end of the longest time for which it refused requests in advance; zero for none
 
 	// The fields below are unused without a rate limit.
 	share   ramp.LimitShare // this daemon's share of the rate limit
@@ -95,10 +98,26 @@
 	probeAt time.Time       // when the next probe is due, and again at each interval after it
 }
 
+// reportedLoad is the load that a replica reported. It is old as soon as it is read. It is
+// an immutable value.
+type reportedLoad struct {
+	ramp.ReplicaLoad
+	heardAt time.Time // when the response came; zero for none
+}
+
 // withSignals returns the condition after a response. The argument share is this daemon's
 // share of the rate limit.
 func (c condition) withSignals(s ramp.Signals, share ramp.LimitShare, now time.Time) condition {
-	next := condition{signals: s, heardAt: now, leavingSince: c.leavingSince, refusesUntil: c.refusesUntil}
+	next := condition{
+		signals: s.Lasting(), heardAt: now, leavingSince: c.leavingSince, refusesUntil: c.refusesUntil,
+		load: c.load, coldUntil: c.coldUntil, cold: c.cold,
+	}
+	if s.Load != nil {
+		next.load = reportedLoad{ReplicaLoad: *s.Load, heardAt: now}
+	}
+	if s.StatesWarmup {
+		next.coldUntil = now.Add(s.WarmupLeft)
+	}
 	if s.Leaving && c.leavingSince.IsZero() {
 		next.leavingSince = now
 	}
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -143,6 +143,8 @@
 	instances *Instances
 	shares    ramp.LimitSharer
 	routing   ramp.RoutingSource                // nil if no service has a warm-up time
+	coldShare ramp.ColdSharer                   // nil if cold replicas are not limited
+	coldRates *ramp.Table[string, coldRate]     // by replica id, of cold replicas
 	stats     *ramp.Table[string, replicaStats] // by replica id
 }
 
@@ -153,14 +155,15 @@
 ) *Picker {
 	return &Picker{
 		clock: clock, log: log, domain: domain, instances: instances, shares: shares,
-		stats: ramp.NewTable[string, replicaStats](ramp.RankReplicas),
+		stats:     ramp.NewTable[string, replicaStats](ramp.RankReplicas),
+		coldRates: ramp.NewTable[string, coldRate](ramp.RankReplicas),
 	}
 }
 
-// WithRouting sets the source of the services' warm-up times, and returns the picker. It
-// must be called before the picker is used.
-func (p *Picker) WithRouting(routing ramp.RoutingSource) *Picker {
-	p.routing = routing
+// WithRouting sets the source of the services' warm-up times and rates and the division of
+// the rates, and returns the picker. It must be called before the picker is used.
+func (p *Picker) WithRouting(routing ramp.RoutingSource, share ramp.ColdSharer) *Picker {
+	p.routing, p.coldShare = routing, share
 	return p
 }
 
@@ -195,39 +198,80 @@
 
 // Pick implements [ramp.Picker].
 func (p *Picker) Pick(request ramp.PickRequest) (ramp.Instance, ramp.PickInfo, bool) {
-	now := p.clock.Now()
-	chosen := p.choose(request, now)
-	best, info := chosen.best, chosen.info
-	if info.Candidates == 0 {
-		return ramp.Instance{}, info, false
+	for {
+		m := p.moment(request.Service)
+		chosen := p.choose(request, m)
+		best, info := chosen.best, chosen.info
+		if info.Candidates == 0 {
+			return ramp.Instance{}, info, false
+		}
+		if !p.assign(best, m) {
+			continue // another attempt took the last token of a cold replica, which now counts as throttled
+		}
+		info.ExpectedLatency, info.EntryAge = time.Duration(chosen.shortest), m.now.Sub(best.readAt)
+		info.StartedMillis = best.StartedMillis
+		return best.Instance, info, true
+	}
+}
+
+// assign counts an attempt as in flight at the replica. It reports false if the replica is
+// cold and the daemon may send it no request now.
+func (p *Picker) assign(r registration, m moment) bool {
+	assigned := true
+	rate, limited := p.coldRate(r, p.statsOf(r), m)
+	p.stats.Update(r.ID, func(s replicaStats) replicaStats {
+		s = s.forStart(r.Instance)
+		if limited {
+			bucket := s.coldBucket(r, rate)
+			if assigned = bucket.delay(m.now) == 0; !assigned {
+				return s
+			}
+			s.cold = bucket.withTaken(m.now)
+		}
+		return s.withAttempt(r.Instance, m.now)
+	})
+	return assigned
+}
+
+// moment is what holds for all replicas of a service at one time. It is an immutable value.
+type moment struct {
+	now         time.Time
+	evacuations evacuations
+	warmup      ramp.Warmup
+	draw        float64 // random number from 0 to 1, 1 excluded
+}
+
+func (p *Picker) moment(service string) moment {
+	return moment{
+		now: p.clock.Now(), evacuations: p.instances.evacuations(), warmup: p.warmup(service), draw: rand.Float64(),
 	}
-	info.ExpectedLatency, info.EntryAge = time.Duration(chosen.shortest), now.Sub(best.readAt)
-	info.StartedMillis = best.StartedMillis
-	p.stats.Update(best.ID, func(s replicaStats) replicaStats { return s.withAttempt(best.Instance, now) })
-	return best.Instance, info, true
+}
+
+// share returns the share of its usual requests that the replica may get.
+func (m moment) share(r registration) float64 {
+	return m.evacuations.share(r.Domain, returnTime(m.warmup), m.now)
 }
 
 // choose selects a replica for the attempt.
-func (p *Picker) choose(request ramp.PickRequest, now time.Time) selection {
+func (p *Picker) choose(request ramp.PickRequest, m moment) selection {
 	var usual, withheld selection // withheld: in domains to which load returns
-	evacuations, over, draw := p.instances.evacuations(), p.returnTime(request.Service), rand.Float64()
 	for _, r := range p.instances.ofService(request.Service) {
 		if request.Near && r.Domain != p.domain {
 			continue
 		}
 		s := p.statsOf(r)
-		health, ok := p.health(r, s, evacuations, now)
+		health, ok := p.health(r, s, m)
 		if !ok || wasTried(request.Tried, r.ID) {
 			continue
 		}
 		to, limit := &usual, request.Limit
-		if share := evacuations.share(r.Domain, over, now); share < 1 {
+		if share := m.share(r); share < 1 {
 			limit = max(1, int(share*float64(limit)))
-			if draw >= share {
+			if m.draw >= share {
 				to = &withheld
 			}
 		}
-		if delay := s.sendDelay(now); delay > 0 {
+		if delay := p.sendDelay(r, s, m); delay > 0 {
 			to.info = to.info.WithThrottled(delay)
 			continue
 		}
@@ -235,7 +279,7 @@
 			to.info.Saturated++
 			continue
 		}
-		*to = to.withCandidate(r, health, p.expectedLatency(r, s, now))
+		*to = to.withCandidate(r, health, p.expectedLatency(r, s, m.now))
 	}
 	if usual.empty() {
 		return withheld
@@ -250,19 +294,19 @@
 	if !found || !all[at].SameStart(i) {
 		return false
 	}
-	_, ok := p.health(all[at], p.statsOf(all[at]), p.instances.evacuations(), p.clock.Now())
+	_, ok := p.health(all[at], p.statsOf(all[at]), p.moment(i.Service))
 	return ok
 }
 
 // health returns the replica's health by its registration, its circuit breaker, the
 // owner of its address and the evacuations. It reports false when the replica must get no
 // requests.
-func (p *Picker) health(r registration, s replicaStats, e evacuations, now time.Time) (ramp.Health, bool) {
-	if s.displaced(r, now) || e.evacuated[r.Domain] {
+func (p *Picker) health(r registration, s replicaStats, m moment) (ramp.Health, bool) {
+	if s.displaced(r, m.now) || m.evacuations.evacuated[r.Domain] {
 		return "", false
 	}
-	health, ok := r.withLeavingSince(s.leavingSince).health(now)
-	if ok && health == ramp.HealthOK && s.Avoided(now) {
+	health, ok := r.withLeavingSince(s.leavingSince).health(m.now)
+	if ok && health == ramp.HealthOK && s.Avoided(m.now) {
 		return ramp.HealthSuspect, true
 	}
 	return health, ok
@@ -284,7 +328,7 @@
 	if s.stalled(now) {
 		queue += stalledPenalty
 	}
-	if r.WarmupLeft > 0 && now.Sub(r.readAt) < r.WarmupLeft {
+	if s.coldLeft(r, now) > 0 {
 		queue += warmupPenalty
 	}
 	return s.expectedLatencyAt(queue, now) *
@@ -307,7 +351,7 @@
 		if a.Signals == nil {
 			return s
 		}
-		if changed = s.signals != *a.Signals && now.Sub(s.loggedAt) >= signalsLogInterval; changed {
+		if changed = s.signals != a.Signals.Lasting() && now.Sub(s.loggedAt) >= signalsLogInterval; changed {
 			s.loggedAt = now
 		}
 		s.condition = s.withSignals(*a.Signals, share, now)
@@ -323,17 +367,18 @@
 // Views returns this daemon's view of each replica, sorted by service and id.
 func (p *Picker) Views() []ramp.ReplicaView {
 	now := p.clock.Now()
-	registrations, evacuations := p.instances.all(), p.instances.evacuations()
+	registrations := p.instances.all()
 	views := make([]ramp.ReplicaView, 0, len(registrations))
 	for _, r := range registrations {
-		s := p.statsOf(r)
-		health, ok := p.health(r, s, evacuations, now)
+		s, m := p.statsOf(r), p.moment(r.Service)
+		health, ok := p.health(r, s, m)
 		if !ok {
 			health = ""
 		}
 		views = append(views, ramp.ReplicaView{
 			Instance: r.Instance, Health: health, EntryAge: now.Sub(r.readAt), InFlight: s.InFlight, Latency: s.Latency,
-			FailureRatio: s.currentFailureRatio(now), Stalled: s.stalled(now), Delay: s.sendDelay(now),
+			FailureRatio: s.currentFailureRatio(now), Stalled: s.stalled(now), Delay: p.sendDelay(r, s, m),
+			ColdLeft: s.coldLeft(r, now), Load: s.load.ReplicaLoad, LoadAge: s.loadAge(now),
 		}.WithSignals(s.signals, s.signalsAge(now), s.share.Rate))
 	}
 	return views
@@ -341,15 +386,14 @@
 
 // Delay implements [ramp.Picker].
 func (p *Picker) Delay(service string) (time.Duration, bool) {
-	now := p.clock.Now()
+	m := p.moment(service)
 	var info ramp.PickInfo
-	evacuations := p.instances.evacuations()
 	for _, r := range p.instances.ofService(service) {
 		s := p.statsOf(r)
-		if _, ok := p.health(r, s, evacuations, now); !ok {
+		if _, ok := p.health(r, s, m); !ok {
 			continue
 		}
-		delay := s.sendDelay(now)
+		delay := p.sendDelay(r, s, m)
 		if delay == 0 {
 			return 0, true
 		}
@@ -364,15 +408,14 @@
 // Domains implements [ramp.Picker]. A domain to which load returns after an evacuation is
 // among a share of the results, and among the others only if it is alone.
 func (p *Picker) Domains(service string) []string {
-	now := p.clock.Now()
+	m := p.moment(service)
 	var domains, withheld []string
-	evacuations, over, draw := p.instances.evacuations(), p.returnTime(service), rand.Float64()
 	for _, r := range p.instances.ofService(service) {
-		if !p.sound(r, evacuations, now) {
+		if !p.sound(r, m) {
 			continue
 		}
 		to := &domains
-		if draw >= evacuations.share(r.Domain, over, now) {
+		if m.draw >= m.share(r) {
 			to = &withheld
 		}
 		switch {
@@ -391,17 +434,17 @@
 
 // Near implements [ramp.Picker].
 func (p *Picker) Near(service string) bool {
-	now, evacuations := p.clock.Now(), p.instances.evacuations()
+	m := p.moment(service)
 	return slices.ContainsFunc(p.instances.ofService(service), func(r registration) bool {
-		return r.Domain == p.domain && p.sound(r, evacuations, now)
+		return r.Domain == p.domain && p.sound(r, m)
 	})
 }
 
 // sound reports whether the replica accepts requests, with no reason to ask another one.
-func (p *Picker) sound(r registration, e evacuations, now time.Time) bool {
+func (p *Picker) sound(r registration, m moment) bool {
 	s := p.statsOf(r)
-	health, ok := p.health(r, s, e, now)
-	return ok && health == ramp.HealthOK && s.healthy(now) && s.sendDelay(now) == 0
+	health, ok := p.health(r, s, m)
+	return ok && health == ramp.HealthOK && s.healthy(m.now) && p.sendDelay(r, s, m) == 0
 }
 
 // Spread implements [ramp.Picker].
--- a/signals.go
+++ b/signals.go
@@ -12,7 +12,10 @@
 	// other one of this daemon. It is 0 for none.
 	RetryAfter time.Duration
 	Load       *ReplicaLoad // what it said of its load; nil for nothing; never modified
-	Ignored    string       // names of the fields whose values were unusable, separated by spaces; "" for none
+	// StatesWarmup reports whether the replica said for how long it is still cold.
+	StatesWarmup bool
+	WarmupLeft   time.Duration // for which it is still cold, if StatesWarmup is set; not negative
+	Ignored      string        // names of the fields whose values were unusable, separated by spaces; "" for none
 }
 
 // WithRateLimit returns the signals with a rate limit. Of several, the lowest holds.
@@ -50,6 +53,18 @@
 	return s
 }
 
+// WithWarmup returns the signals of a replica that is cold for the given time.
+func (s Signals) WithWarmup(left time.Duration) Signals {
+	s.StatesWarmup, s.WarmupLeft = true, left
+	return s
+}
+
+// Lasting returns the signals without those that differ in each response.
+func (s Signals) Lasting() Signals {
+	s.Load, s.StatesWarmup, s.WarmupLeft = nil, false, 0
+	return s
+}
+
 // WithIgnored returns the signals with the name of a field whose value was unusable.
 func (s Signals) WithIgnored(field string) Signals {
 	if s.Ignored != "" {
@@ -74,3 +89,16 @@
 	// no more daemons than limit have one, unless it is below 1.
 	Share(r Replica, limit float64) LimitShare
 }
+
+// ColdLimit is the limit on the requests to a cold replica.
+type ColdLimit struct {
+	Rate      float64 // requests per second that it accepts from all daemons together; positive
+	Collected bool    // its service is part of a gathered route, so delegates send it most requests
+}
+
+// ColdSharer divides the rates of cold replicas among the daemons.
+type ColdSharer interface {
+	// ColdRate returns the requests per second that this daemon may send to the replica
+	// while it is cold, 0 for none. The daemon may hold one token for a request besides.
+	ColdRate(i Instance, limit ColdLimit) float64
+}
