replica: ask for parts where replicas are warm, and at delegates while all are cold

Cause: Picker.Domains left a domain out if this daemon had no share of the rate of its cold replicas, although the delegate there sends the request. With all replicas of a service cold, most daemons of a grouped fleet asked nobody. Change: a domain with cold replicas only is named if no other one is; Picker.Near, by which a delegate decides, counts the tokens of the delegate. Measured: TestDomainsOfColdReplicas; tests of replica named Cold, Tokens, Domains, Evacuation and Pick, and all of query pass.

--- a/relay.go
+++ b/relay.go
@@ -22,9 +22,10 @@
 	// Domains returns the failure domains in which the service has a healthy replica and
 	// that requests may be sent to now, each once, the daemon's own domain first if it is
 	// among them. While load returns to a domain after its evacuation, results differ.
+	// A domain with cold replicas only is left out if there is another one.
 	Domains(service string) []string
 	// Near reports whether the service has a healthy replica in the daemon's own failure
-	// domain.
+	// domain that accepts a request of this daemon now.
 	Near(service string) bool
 	// Spread returns the number of failure domains in which the service has replicas.
 	Spread(service string) int
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -406,7 +406,9 @@
 func (p *Picker) Remove(id string) { p.stats.Delete(id) }
 
 // Domains implements [ramp.Picker]. A domain to which load returns after an evacuation is
-// among a share of the results, and among the others only if it is alone.
+// among a share of the results, and among the others only if it is alone. One whose replicas
+// are limited since they are cold is also there only if it is alone: the daemon that
+// collects parts there has the share of their rate, and gives back what exceeds it.
 func (p *Picker) Domains(service string) []string {
 	m := p.moment(service)
 	var domains, withheld []string
@@ -415,7 +417,7 @@
 			continue
 		}
 		to := &domains
-		if m.draw >= m.share(r) {
+		if m.draw >= m.share(r) || p.coldLimited(r, p.statsOf(r), m) {
 			to = &withheld
 		}
 		switch {
@@ -436,15 +438,16 @@
 func (p *Picker) Near(service string) bool {
 	m := p.moment(service)
 	return slices.ContainsFunc(p.instances.ofService(service), func(r registration) bool {
-		return r.Domain == p.domain && p.sound(r, m)
+		return r.Domain == p.domain && p.sound(r, m) && p.sendDelay(r, p.statsOf(r), m) == 0
 	})
 }
 
-// sound reports whether the replica accepts requests, with no reason to ask another one.
+// sound reports whether the replica accepts requests, with no reason to ask another one but
+// that it is cold.
 func (p *Picker) sound(r registration, m moment) bool {
 	s := p.statsOf(r)
 	health, ok := p.health(r, s, m)
-	return ok && health == ramp.HealthOK && s.healthy(m.now) && p.sendDelay(r, s, m) == 0
+	return ok && health == ramp.HealthOK && s.healthy(m.now) && s.sendDelay(m.now) == 0
 }
 
 // Spread implements [ramp.Picker].
--- a/replica/warmup.go
+++ b/replica/warmup.go
@@ -54,10 +54,15 @@
 	return delay
 }
 
+// coldLimited reports whether the replica is cold and bears a limited rate meanwhile.
+func (p *Picker) coldLimited(r registration, s replicaStats, m moment) bool {
+	return m.warmup.Rate > 0 && p.coldShare != nil && s.coldLeft(r, m.now) > 0
+}
+
 // coldRate returns the requests per second that this daemon may send to the replica. It
 // reports false if there is no limit, since the replica is warm or bears any load.
 func (p *Picker) coldRate(r registration, s replicaStats, m moment) (float64, bool) {
-	if m.warmup.Rate <= 0 || p.coldShare == nil || s.coldLeft(r, m.now) == 0 {
+	if !p.coldLimited(r, s, m) {
 		return 0, false
 	}
 	known, _ := p.coldRates.Get(r.ID)
--- a/replica/warmup_test.go
+++ b/replica/warmup_test.go
@@ -154,6 +154,28 @@
 	})
 }
 
+// TestDomainsOfColdReplicas guards against parts that are asked for where the replicas are cold
+// although another domain has a warm one, and against a service whose replicas are all cold and
+// that is not asked for at the daemons that have the share of its rate.
+func TestDomainsOfColdReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewInstances(drainBound, ramp.SystemClock{})
+		s.Update(cold(1, time.Minute), time.Now())
+		p := newTestPicker(s).WithRouting(coldRouting{1}, wholeRate{})
+		is.Equal(p.Domains("s"), []string{"d"})
+		is.True(!p.Near("s")) // there is no token yet
+		time.Sleep(time.Second)
+		is.True(p.Near("s"))
+		warm := instance("warm", 1, 1, ramp.Live)
+		warm.Domain = "other"
+		s.Update(warm, time.Now())
+		is.Equal(p.Domains("s"), []string{"other"})
+		time.Sleep(time.Minute)
+		is.Equal(p.Domains("s"), []string{"d", "other"})
+	})
+}
+
 // TestReportedLoad guards against a log line for each response of replicas that report their
 // load, and against a load without the time at which it was heard.
 func TestReportedLoad(t *testing.T) {
