docs, replica: what proves evacuation and the limit of cold replicas

Cause: PROOFS.md names a mechanism and its tests for each rule; the choice of a replica did not state which load it handles.

--- a/replica/pick.go
+++ b/replica/pick.go
@@ -252,7 +252,9 @@
 	return m.evacuations.share(r.Domain, returnTime(m.warmup), m.now)
 }
 
-// choose selects a replica for the attempt.
+// choose selects a replica for the attempt. At any load it exceeds neither the attempts in
+// flight nor the rates of replicas; an attempt that fits nowhere gets none, and is not moved to
+// a domain to which load only returns.
 func (p *Picker) choose(request ramp.PickRequest, m moment) selection {
 	var usual, withheld selection // withheld: in domains to which load returns
 	for _, r := range p.instances.ofService(request.Service) {
