--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -82,6 +82,7 @@
 	instances   *replica.Instances
 	picker      *replica.Picker
 	admitter    *plan.Admitter
+	coldShares  *fleet.ColdShares
 	metrics     *metrics
 	burnRates   *burn.Recorder
 	idleCloser  *idleCloser
@@ -130,7 +131,7 @@
 	store := platform.NewClient(d.StoreAddress)
 	e.observer = &fleet.Observer{
 		Clock: clock, Log: e.log, Self: e.self, Store: store, Registry: platform.Registry{Store: store},
-		Translator: platform.Translator{}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
+		Translator: platform.Translator{Now: clock.Now}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
 		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
 		Boot:  systemBootClock{},
@@ -140,7 +141,8 @@
 	}
 	e.observer.Init()
 	shares := fleet.LimitShares{Self: e.self, Members: e.members, FleetSize: e.observer.FleetSize}
-	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock).WithRouting(e.routes)
+	e.coldShares = fleet.NewColdShares(e.self, e.members, d.Warmup, e.observer.InTouch, e.observer.FleetSize, clock)
+	e.picker = replica.NewPicker(e.instances, d.Domain, shares, e.log, clock).WithRouting(e.routes, e.coldShares)
 	e.admitter = plan.NewAdmitter(plan.Config{
 		Clock: clock, Capacity: attemptWorkers + attemptQueue, Floor: 1, Leaving: e.leaving,
 		Members: func() []ramp.Daemon { return nil }, // tenants share no rates among daemons here
@@ -251,6 +253,7 @@
 		close(observerDone)
 	}()
 	go e.watchSettings(serving, hangups)
+	go e.coldShares.Run(serving)
 	go e.idleCloser.Run(serving)
 	go e.pauses.Run(serving)
 	e.log.Info("daemon started", "daemon", e.self.ID, "incarnation", e.self.Incarnation, "domain", e.self.Domain,
--- a/daemon/edge_test.go
+++ b/daemon/edge_test.go
@@ -112,8 +112,8 @@
 		PeerAddress: f.host + ":8106",
 		ApplyBound:  3 * time.Second, DrainBound: 3 * time.Second, GracePeriod: 3 * time.Second, AddressTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 20,
-		RetryWindow: 10 * time.Second, Quota: ramp.QuotaBounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20},
 		RetryWindow: 10 * time.Second, RevocationBound: f.revocation,
+		Quota: ramp.QuotaBounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20},
 	}
 	e, err := daemon.NewEdge(d, func() (ramp.Deployment, error) { return d, nil }, f.host+":9464", "/metrics",
 		ramp.SystemClock{}, f.log, slog.LevelDebug)
--- a/replica/balance.go
+++ b/replica/balance.go
@@ -71,11 +71,11 @@
 // recentLoad returns the load that the replica last reported and the age of the report. It
 // reports false when there is none within loadLife.
 func (s replicaStats) recentLoad(now time.Time) (ramp.ReplicaLoad, time.Duration, bool) {
-	age := s.signalsAge(now)
-	if s.signals.Load == nil || age >= loadLife {
+	age := s.loadAge(now)
+	if s.load.heardAt.IsZero() || age >= loadLife {
 		return ramp.ReplicaLoad{}, 0, false
 	}
-	return *s.signals.Load, max(0, age), true
+	return s.load.ReplicaLoad, max(0, age), true
 }
 
 // bounded returns the load with each figure within its bounds.
@@ -326,7 +326,7 @@
 	for i, o := range options {
 		if o.health == health {
 			indices = append(indices, i)
-			b.candidates = append(b.candidates, newCandidate(o.stats, p.queuePenalty(o.registration, now), b.assumed, now))
+			b.candidates = append(b.candidates, newCandidate(o.stats, p.queuePenalty(o.registration, o.stats, now), b.assumed, now))
 		}
 	}
 	if !b.active() {
--- a/replica/concurrency.go
+++ b/replica/concurrency.go
@@ -83,10 +83,10 @@
 // Capacity returns how many requests the replicas of the service run at once that may get
 // requests, 0 if one of them does not state it, and whether there are any.
 func (p *Picker) Capacity(service string) (slots int, usable bool) {
-	now := p.clock.Now()
+	m := p.moment(service)
 	known := true
 	for _, r := range p.instances.ofService(service) {
-		if _, ok := p.health(r, p.statsOf(r), p.instances.evacuations(), now); !ok {
+		if _, ok := p.health(r, p.statsOf(r), m); !ok {
 			continue
 		}
 		usable = true
