plan: grant what an allowance permits in any window

Cause: a tenant that lastingly sends more than its rate got the rate alone from a token bucket, though its allowance is rate x window + burst in any window.

--- a/plan/allowance.go
+++ b/plan/allowance.go
@@ -46,9 +46,10 @@
 	generation uint64    // changes when the daemon was paused or has lost the majority
 }
 
-// account is the token bucket of a tenant's allowance. It is an immutable value.
+// account is the account of a tenant's allowance. It is an immutable value.
 //
-// An established account grants the tenant's whole rate. Only one daemon may have one, but
+// An established account grants what the allowance permits in any window: the rate times
+// the window and the burst. Only one daemon may have one, but
 // for the time in which a departure becomes known: the daemon that has ranked first among
 // all registered members for a window, while it is in contact with the store or a
 // majority. Any other
@@ -58,7 +59,7 @@
 	version     uint64 // version of the configuration that rate and burst are from
 	rate        float64
 	burst       float64
-	tokens      float64
+	tokens      float64   // that may be granted now; below 0 after the allowance was lowered
 	refilled    time.Time // last time that tokens were added; zero if the account is new
 	firstSince  time.Time // when the daemon began to rank first; zero if it does not
 	lostAt      time.Time // when the daemon of an established account ceased to rank first; zero if it does
@@ -68,6 +69,9 @@
 	refused     uint64
 	refusedAt   time.Time // last refusal; zero for none
 	exceeding   bool      // the beginning of refusals was reported, and their end was not
+
+	recent  recentGrants // of an established account
+	counted bool         // recent is in use
 }
 
 // WithAllowance returns the account with the rate and burst of the given version of the
@@ -120,7 +124,14 @@
 	return a
 }
 
-// accrual returns the tokens per second that the account gets.
+// capacity returns the tokens that an established account grants in a window. One more than
+// the allowance keeps requests within it from being refused that arrive slightly early.
+func (a account) capacity(b ramp.QuotaBounds) float64 {
+	return a.rate*b.Window.Seconds() + a.burst + 1
+}
+
+// accrual returns the tokens per second that the account gets while it has no record of a
+// whole window.
 func (a account) accrual(b ramp.QuotaBounds) float64 {
 	if a.established {
 		return a.rate
@@ -128,8 +139,8 @@
 	return min(a.rate, partialRateShare*tolerance(b, a.rate, a.burst)/b.Window.Seconds())
 }
 
-// size returns the most tokens that the account may have. One more than the burst keeps
-// requests within the allowance from being refused that arrive slightly early.
+// size returns the most tokens that the account may have while it has no record of a whole
+// window.
 func (a account) size(b ramp.QuotaBounds) float64 {
 	size := a.burst + 1
 	if a.established {
@@ -138,19 +149,44 @@
 	return min(size, max(1, partialBurstShare*tolerance(b, a.rate, a.burst)))
 }
 
-// WithRefill returns the account with the tokens added that accrued until now.
+// WithRefill returns the account with the tokens that it may grant now.
 func (a account) WithRefill(b ramp.QuotaBounds, now time.Time) account {
-	if elapsed := now.Sub(a.refilled); elapsed > 0 {
-		a.tokens += a.accrual(b) * elapsed.Seconds()
-		a.refilled = now
+	a.counted = a.counted && a.established
+	if !a.counted {
+		if elapsed := now.Sub(a.refilled); elapsed > 0 {
+			a.tokens += a.accrual(b) * elapsed.Seconds()
+		}
+		a.tokens = min(a.tokens, a.size(b))
+	}
+	a.refilled = now
+	if !a.established {
+		return a
+	}
+	if !a.counted {
+		a.recent, a.counted = a.assumedGrants(b, now), true
 	}
-	a.tokens = min(a.tokens, a.size(b))
+	a.recent = a.recent.advanced(b.Window, now)
+	a.tokens = a.capacity(b) - a.recent.sum()
 	return a
 }
 
+// assumedGrants returns what counts as granted in the last window when the account becomes
+// established. Another daemon may have had it until a window after this one ranked first.
+func (a account) assumedGrants(b ramp.QuotaBounds, now time.Time) recentGrants {
+	if !a.firstSince.IsZero() && now.Sub(a.firstSince) >= 2*b.Window {
+		return recentGrants{since: now}
+	}
+	return newRecentGrants(a.capacity(b)-a.tokens, now)
+}
+
 // WithReturned returns the account with tokens that were granted and not used.
 func (a account) WithReturned(tokens int, b ramp.QuotaBounds) account {
-	a.tokens = min(a.tokens+float64(tokens), a.size(b))
+	if !a.counted {
+		a.tokens = min(a.tokens+float64(tokens), a.size(b))
+		return a
+	}
+	a.recent = a.recent.withReturned(float64(tokens))
+	a.tokens = a.capacity(b) - a.recent.sum()
 	return a
 }
 
@@ -165,14 +201,20 @@
 	}
 	a.tokens -= float64(tokens)
 	a.granted += uint64(tokens)
+	if a.counted {
+		a.recent = a.recent.withGranted(float64(tokens))
+	}
 	return a, tokens
 }
 
 // delay returns the time until the account has a token.
 func (a account) delay(b ramp.QuotaBounds) time.Duration {
 	missing := 1 - a.tokens
-	if missing <= 0 {
+	switch {
+	case missing <= 0:
 		return 0
+	case a.counted:
+		return a.recent.delay(missing, b.Window, a.refilled)
 	}
 	return time.Duration(math.Ceil(missing / a.accrual(b) * float64(time.Second)))
 }
