--- a/plan/ranks.go
+++ b/plan/ranks.go
@@ -27,6 +27,8 @@
 
 	occupancyTime = windowTime // over which the occupancy is averaged; shorter than a limit needs to change
 
+	lightHeadroom = 2.0 // multiple of the limit for flows that had less than their turn
+
 	rankedWaitDivisor   = 4                      // a tenant's request waits for at most 1/4 of its objective
 	minRankedRetryAfter = 100 * time.Millisecond // about as long as a replica needs to free capacity
 	minRetryShare       = 0.2                    // served share below which the retry delay grows no further
@@ -83,12 +85,14 @@
 	return f.rank
 }
 
-// size returns the limit for requests of the flow.
+// size returns the limit for requests of the flow. A flow that had less than its turn
+// has more room than others, so that those who ask for most yield first at each daemon.
 func (sq *serviceQueue) size(f *flow) float64 {
-	if !sq.ranked {
-		return sq.limit.Size
+	size := sq.room.sizes[classOf(sq.urgency(f))]
+	if f.finishTag <= sq.virtualTime {
+		size *= lightHeadroom
 	}
-	return sq.room.sizes[classOf(sq.urgency(f))]
+	return size
 }
 
 // fitsRanked reports whether a tenant's request is within the limit of its class. The
--- a/plan/room.go
+++ b/plan/room.go
@@ -1,6 +1,9 @@
 package plan
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the limits by room. Those of [Limit] hold too, unless they are replaced
 // here.
@@ -16,9 +19,13 @@
 	// falls at once when most requests lacked room. Requests of a surge last for seconds
 	// only, so steps by half take too long.
 	busyFactor = 1.5
-	// minShort is the number of requests without room in two windows that count. A single
-	// one may be due to slow replicas.
-	minShort   = 2
+	// maxLackingShare is the share of requests or attempts without room above which limits
+	// shrink. Urgent requests must be served in time 95 times in 100, whoever floods.
+	maxLackingShare = 0.03
+	// minShort is the number of requests without room, after decay, from which they count:
+	// two of about a second. A single one may be due to slow replicas.
+	minShort   = 1.5
+	memoryTime = time.Second
 	maxWindows = 8.0 // multiples of windowTime that one window counts for
 	// roomGrowth is the part of a request by which a limit grows for each windowTime since it
 	// shrank, so that it passes one request after about a second and ten after three.
@@ -60,10 +67,12 @@
 	sizes   [classes]float64 // in sub-requests, from 1 to ceiling
 	ceiling float64          // at least 1
 	calm    [classes]float64 // time since the limit of the class last shrank, in multiples of windowTime
-	doubt   int              // requests that lacked room in the last window, if they were too few to count
-	cutAt   time.Time        // when a limit last shrank by refusalFactor or more; zero for never
-	rate    float64          // sub-requests per second of requests with room, over the last windows; 0 for none yet
-	hold    holdTime         // of requests
+	// pastEnded and pastShort count the requests of earlier windows since a limit last
+	// shrank like ended and short, decayed by memoryTime.
+	pastEnded, pastShort float64
+	cutAt                time.Time // when a limit last shrank by more than maxLackingShare; zero for never
+	rate                 float64   // sub-requests per second of requests with room, over the last windows; 0 for none yet
+	hold                 holdTime  // of requests
 
 	windowStart time.Time        // start of the current window
 	ended       int              // requests that ended in the current window
@@ -144,13 +153,13 @@
 		size := l.sizes[c]
 		l.calm[c] += windows
 		switch {
-		case lacking > maxRefusedShare && c >= yields:
+		case lacking > maxLackingShare && c >= yields:
 			l.sizes[c], l.calm[c] = l.cut(size, lacking), 0
-			if l.sizes[c] < size*refusalFactor {
+			if l.sizes[c] < size*(1-maxLackingShare) {
 				cutAt = now
 			}
-		case lacking <= maxRefusedShare && (l.blocked[c] || l.peak >= size*inUseShare):
-			step := max(1, size*growthShare, roomGrowth*windows*l.calm[c]*float64(l.largest))
+		case lacking <= maxLackingShare && (l.blocked[c] || l.peak >= size*inUseShare):
+			step := max(size*growthShare, roomGrowth*windows*l.calm[c]*float64(l.largest))
 			l.sizes[c] = min(l.ceiling, size+step)
 		}
 	}
@@ -158,8 +167,9 @@
 		sizes: l.sizes, ceiling: l.ceiling, calm: l.calm, cutAt: cutAt, rate: l.rate, hold: l.hold.nextWindow(),
 		windowStart: now,
 	}
-	if lacking <= maxRefusedShare {
-		next.doubt = l.short
+	if lacking <= maxLackingShare {
+		kept := math.Exp(-float64(now.Sub(l.windowStart)) / float64(memoryTime))
+		next.pastEnded, next.pastShort = (l.pastEnded+float64(l.ended))*kept, (l.pastShort+float64(l.short))*kept
 	}
 	for c, n := range l.admitted {
 		next.admitted[c] = n * admittedDecay
@@ -177,15 +187,15 @@
 	return l
 }
 
-// lacking returns the share of the attempts or requests of the current window that lacked
-// room, whichever is greater.
+// lacking returns the share of the attempts or requests that lacked room, whichever is
+// greater, and 0 if they were too few to count.
 func (l roomLimit) lacking() float64 {
 	share := 0.0
 	if l.attempts >= minAttempts {
 		share = float64(l.refused) / float64(l.attempts)
 	}
-	if l.short+l.doubt >= minShort {
-		share = max(share, float64(l.short)/float64(l.ended))
+	if short := float64(l.short) + l.pastShort; l.short > 0 && short >= minShort {
+		share = max(share, short/(float64(l.ended)+l.pastEnded))
 	}
 	return share
 }
--- a/plan/tenants.go
+++ b/plan/tenants.go
@@ -53,10 +53,11 @@
 		seen := signs{cost: r.Cost}
 		if refused := findRefusal(err); refused == nil || refused.Reason != ramp.ReasonCaller {
 			seen = t.signsOf(r, result)
-			overdue := t.Clock.Now().Sub(started) > objective
-			seen.inTime = refused == nil && !overdue
-			late := overdue && (refused == nil || refused.Reason == ramp.ReasonDeadline)
-			seen.short = seen.short || late && (t.turnedAway(r, result) || t.exceedsSlots(p))
+			late := t.Clock.Now().Sub(started) > objective
+			seen.inTime = refused == nil && !late
+			if late && (refused == nil || refused.Reason == ramp.ReasonDeadline) {
+				seen.short = seen.short || t.lateForLoad(r, p, result)
+			}
 		}
 		t.Admitter.release(sq, flow, r.Cost, admitted, seen)
 	}, nil
@@ -114,16 +115,23 @@
 	return false
 }
 
-// turnedAway reports whether too many parts of a request were given back unsent by a
-// daemon with replicas of their service.
-func (t *TenantAdmitter) turnedAway(r ramp.AdmissionRequest, result ramp.RelayResult) bool {
+// turnedAway returns the number of services of a gathered request whose part was given
+// back unsent by a daemon with replicas of it.
+func turnedAway(result ramp.RelayResult) int {
 	services := make(map[string]bool)
 	for i := range result.Attempts {
-		if a := &result.Attempts[i]; a.Outcome == ramp.NotStarted {
+		if a := &result.Attempts[i]; a.Outcome == ramp.NotStarted && a.Delegate != "" {
 			services[a.Shard.ID] = true
 		}
 	}
-	return r.Route.Gathered() && 2*len(services) > len(r.Route.Gather)-r.Route.Quorum()
+	return len(services)
+}
+
+// lateForLoad reports whether a request that exceeded its objective did so for lack of
+// room: parts were turned away, or this daemon alone keeps all replicas busy.
+func (t *TenantAdmitter) lateForLoad(r ramp.AdmissionRequest, p pool, result ramp.RelayResult) bool {
+	spare := len(r.Route.Gather) - r.Route.Quorum()
+	return r.Route.Gathered() && 2*turnedAway(result) > spare || t.exceedsSlots(p)
 }
 
 // exceedsSlots reports whether this daemon alone has more sub-requests of the pool in
--- a/query/delegation.go
+++ b/query/delegation.go
@@ -183,7 +183,10 @@
 		}
 		e.mergeBatch(d, b)
 	})
-	if !answered.Load() && e.context.Err() == nil && (d.repeats() || e.elapsed()-d.started < e.delegateWait()) {
+	// A delegate that has no room for a tenant's parts ends the collection without them.
+	hasNoRoom := err == nil && e.message.Tenant != ""
+	if !answered.Load() && !hasNoRoom && e.context.Err() == nil &&
+		(d.repeats() || e.elapsed()-d.started < e.delegateWait()) {
 		e.reportSilence(d, err)
 	}
 	e.finishDelegation(d, err)
--- a/query/execution.go
+++ b/query/execution.go
@@ -302,13 +302,13 @@
 	if e.message.Tenant != "" {
 		request.Ordered, request.Priority = true, e.message.Priority
 		request.Repeat = kind != ramp.First || e.repeats
-		request.Holders = e.holders(state.service)
+		request.Holders, request.Exceptional = e.holders(state.service), e.grouped
 	}
 	return request
 }
 
 // holders returns the number of daemons that send requests to the replicas of the
-// service: this one alone if it is the delegate of the service in a grouped fleet.
+// service in this failure domain: this one alone if it is their delegate.
 func (e *execution) holders(service string) int {
 	if e.grouped && (e.bound || e.relay.Delegates.Select(e.relay.Domain, []string{service})[0].Self) {
 		return 1
--- a/relay.go
+++ b/relay.go
@@ -39,7 +39,10 @@
 	Ordered  bool
 	Priority int  // rank; 0 is the highest
 	Repeat   bool // it is a retry or a hedge
-	Holders  int  // daemons that send requests to the replicas of the service; at least 1
+	Holders  int  // daemons that send requests to the replicas in the own failure domain; at least 1
+	// Exceptional says that other daemons send the requests to the replicas in the other
+	// failure domains, and with Holders above 1 also to those in the own one.
+	Exceptional bool
 }
 
 // Health is the health of a replica when it was picked.
--- a/replica/concurrency.go
+++ b/replica/concurrency.go
@@ -27,16 +27,21 @@
 	capacity    int  // requests that the replica runs at once; 0 if unknown
 	holders     int  // daemons that send to the replica; at least 1
 	rank        int
-	repeat      bool
+	repeat      bool // a retry or a hedge, or an attempt that another daemon should make
 	slow        bool // its replies take much longer than those of other replicas
 }
 
-// concurrencyFor returns the bound for an attempt at a replica of the given capacity.
-func concurrencyFor(r ramp.PickRequest, capacity int, slow bool) concurrency {
-	return concurrency{
+// concurrencyFor returns the bound for an attempt at a replica of the given capacity. Near
+// says that it is in this daemon's failure domain, and slow is [replicaStats.slowToQueue].
+func concurrencyFor(r ramp.PickRequest, capacity int, near, slow bool) concurrency {
+	c := concurrency{
 		connections: r.Limit, ordered: r.Ordered, capacity: capacity, holders: max(1, r.Holders), rank: r.Priority,
 		repeat: r.Repeat, slow: slow,
 	}
+	if r.Exceptional && (!near || r.Holders > 1) {
+		c.repeat, c.holders = true, max(2, c.holders)
+	}
+	return c
 }
 
 // limit returns the number of attempts in flight from which the replica gets no further
@@ -51,16 +56,33 @@
 		limit = part(c.capacity, c.holders)
 	case c.repeat:
 		limit = max(1, limit-part(limit, 4))
-	case c.rank <= 0:
-		limit += c.base()
-	case c.rank == 1:
-		limit += part(c.base(), 2)
 	default:
-		limit += part(c.base(), 4)
+		limit += c.queued()
 	}
 	return min(limit, c.connections)
 }
 
+// queued returns how many first attempts may wait at the replica. It is less where several
+// daemons send to the replica, since those of all of them wait there together.
+func (c concurrency) queued() int {
+	rank := max(0, c.rank)
+	if c.holders > 1 {
+		rank++
+	}
+	switch rank {
+	case 0:
+		return c.base()
+	case 1:
+		return part(c.base(), 2)
+	case 2:
+		return part(c.base(), 4)
+	}
+	if c.holders == 1 {
+		return part(c.base(), 4)
+	}
+	return 0
+}
+
 // base returns the attempts that this daemon may have in flight whatever their kind: the
 // capacity if it alone sends to the replica, and otherwise its share of sharedFactor
 // times that. It is at least half of the capacity, since all callers may use one daemon.
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -180,7 +180,7 @@
 			info = info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= concurrencyFor(request, r.Capacity, s.slowToQueue(now)).limit() {
+		if s.InFlight >= concurrencyFor(request, r.Capacity, r.Domain == p.domain, s.slowToQueue(now)).limit() {
 			info.Saturated++
 			continue
 		}
