--- a/relay.go
+++ b/relay.go
@@ -44,16 +44,15 @@
 	Ordered  bool
 	Priority int  // rank; 0 is the highest
 	Repeat   bool // it is a retry or a hedge
-	Holders  int  // daemons that send requests to the replicas of the service; at least 1
+	Holders  int  // daemons that send requests to the replicas in the own failure domain; at least 1
+	// Exceptional says that other daemons send the requests to the replicas in the other
+	// failure domains, and with Holders above 1 also to those in the own one.
+	Exceptional bool
 
 	// Senders is the number of daemons that send requests to the replicas of the service,
 	// this one included. It is 0 where the load that replicas report is not to be used.
 	Senders int
 	Latency time.Duration // median latency of replies on the route; 0 if unknown
-	Holders  int  // daemons that send requests to the replicas in the own failure domain; at least 1
-	// Exceptional says that other daemons send the requests to the replicas in the other
-	// failure domains, and with Holders above 1 also to those in the own one.
-	Exceptional bool
 }
 
 // Health is the health of a replica when it was picked.
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -292,10 +292,8 @@
 			to.info = to.info.WithThrottled(delay)
 			continue
 		}
-		if s.InFlight >= concurrencyFor(bound, r.Capacity, s.slowToQueue(m.now)).limit() {
+		if s.InFlight >= concurrencyFor(bound, r.Capacity, r.Domain == p.domain, s.slowToQueue(m.now)).limit() {
 			to.info.Saturated++
-		if s.InFlight >= concurrencyFor(request, r.Capacity, r.Domain == p.domain, s.slowToQueue(now)).limit() {
-			info.Saturated++
 			continue
 		}
 		*to = to.withCandidate(option{
