--- a/plan/ranks.go
+++ b/plan/ranks.go
@@ -85,23 +85,26 @@
 	return f.rank
 }
 
-// size returns the limit for requests of the flow. A flow that had less than its turn
-// has more room than others, so that those who ask for most yield first at each daemon.
+// light reports whether the flow had less than its turn.
+func (sq *serviceQueue) light(f *flow) bool { return f.finishTag <= sq.virtualTime }
+
+// size returns the limit for requests of the flow. Light flows have more room than others,
+// so that those who ask for most yield first at each daemon.
 func (sq *serviceQueue) size(f *flow) float64 {
 	size := sq.room.sizes[classOf(sq.urgency(f))]
-	if f.finishTag <= sq.virtualTime {
+	if sq.light(f) {
 		size *= lightHeadroom
 	}
 	return size
 }
 
 // fitsRanked reports whether a tenant's request is within the limit of its class. The
-// limit may be less than one request: urgent requests are rounded up, and others start
-// alone only while the mean occupancy, urgent ones included, is within the limit.
+// limit may be less than one request: urgent requests of light flows are rounded up, and
+// others start alone only while the mean occupancy, of all requests, is within the limit.
 func (sq *serviceQueue) fitsRanked(f *flow, cost int, now time.Time) bool {
 	size := sq.size(f)
 	switch {
-	case sq.urgency(f) <= 0:
+	case sq.urgency(f) <= 0 && sq.light(f):
 		return sq.running == 0 || float64(sq.running) < size
 	case sq.running == 0:
 		return sq.occupancy.with(0, now).mean <= size
