--- a/bench/tenants.go
+++ b/bench/tenants.go
@@ -181,4 +181,5 @@
 	}
 	return t
 }
+
 var probeLog = slog.New(slog.DiscardHandler)
--- a/bench/tenants_test.go
+++ b/bench/tenants_test.go
@@ -123,7 +123,8 @@
 			flooded := fleet.withTenant(0, 9*usual).measureTenants(t)
 			_, before := fleet.sum(calm)
 			_, after := fleet.sum(flooded)
-			t.Logf("%+v\n%+v\n%+v", before, after, flooded["tenant9"]); t.Logf("others %.3f in time with the flood, %.3f without; flood %.3f", after.share(), before.share(),
+			t.Logf("%+v\n%+v\n%+v", before, after, flooded["tenant9"])
+			t.Logf("others %.3f in time with the flood, %.3f without; flood %.3f", after.share(), before.share(),
 				flooded["tenant9"].share())
 			if after.share() < before.share()-0.05 {
 				t.Errorf("the others' share fell from %.3f to %.3f", before.share(), after.share())
--- a/plan/ranks.go
+++ b/plan/ranks.go
@@ -22,9 +22,6 @@
 	// forgotten.
 	forgottenCount = 0.1
 
-	urgentHeadroom = 2.0 // multiple of the limit that requests of rank 0 and starved flows may fill
-	middleHeadroom = 1.5 // multiple of the limit that requests of rank 1 may fill
-
 	occupancyTime = windowTime // over which the occupancy is averaged; shorter than a limit needs to change
 
 	lightHeadroom = 2.0 // multiple of the limit for flows that had less than their turn
--- a/replica/concurrency.go
+++ b/replica/concurrency.go
@@ -17,10 +17,11 @@
 const slowQueueRatio = 2
 
 // concurrency bounds how many attempts of this daemon may be in flight at one replica. It
-// handles replicas with more requests than they run at once: any attempt may fill their
-// slots, but only urgent first attempts may enter their own queues. So an urgent request
-// waits for requests that run, but not for others that wait, and repeats yield to first
-// attempts. It is an immutable value.
+// handles replicas with more requests than they run at once: any first attempt may fill
+// their slots, and the more urgent it is, the more may wait before it in their own queues.
+// So an urgent request finds room behind requests that run while others wait at the
+// daemon, and repeats, which leave a part of the slots free, yield to first attempts. It
+// is an immutable value.
 type concurrency struct {
 	connections int  // bound on the connections of this daemon; at least 1
 	ordered     bool // the bounds below hold too
@@ -51,12 +52,13 @@
 		return c.connections
 	}
 	limit := c.base()
-	switch {
-	case c.slow:
+	if c.slow {
 		limit = part(c.capacity, c.holders)
+	}
+	switch {
 	case c.repeat:
 		limit = max(1, limit-part(limit, 4))
-	default:
+	case !c.slow:
 		limit += c.queued()
 	}
 	return min(limit, c.connections)
