--- a/fleet/authorization.go
+++ b/fleet/authorization.go
@@ -12,12 +12,12 @@
 	// validityShare is the share for which a request may be sent after the last
 	// confirmation of the version that it was authorised under. The rest is for the way from
 	// the check before the first byte to the replica.
-	validityShare = 0.88
+	validityShare = 0.94
 	// confirmShare is the share within which a daemon renews its confirmation. A daemon that
 	// loses its last path to the store must serve requests with keys for 0.6 of the bound, so
-	// its confirmation must not be older than 0.28 of it. A daemon reads the store itself at
+	// its confirmation must not be older than 0.34 of it. A daemon reads the store itself at
 	// [selfWatchShare] of this share, and the reply takes some time.
-	confirmShare = 0.3
+	confirmShare = 0.4
 )
 
 // maxSupersessions bounds the number of superseded versions that are kept: 15 s of a
--- a/replica/pick.go
+++ b/replica/pick.go
@@ -59,6 +59,7 @@
 	failureRatioAt time.Time // when failureRatio was last updated
 	displacedAt    time.Time // when another replica last answered at the address; zero for never
 	loggedAt       time.Time // when a change of the signals was last logged; zero for never
+	fullAt         time.Time // when the replica last refused a request since it was full; zero for never
 
 	sentSinceLoad int // attempts placed since the replica last reported its load, those that ended included
 }
@@ -94,6 +95,9 @@
 	if a.Outcome == ramp.Merged || a.Outcome == ramp.Late || a.Outcome == ramp.Shed {
 		s.lastProgress = now
 	}
+	if a.Outcome == ramp.Shed {
+		s.fullAt = now
+	}
 	switch a.Outcome {
 	case ramp.Merged, ramp.Late:
 		s.failureRatio = s.currentFailureRatio(now) * (1 - failureSmoothing)
@@ -282,6 +286,7 @@
 			continue
 		}
 		to, bound := &usual, request
+		bound.Ordered = request.Ordered && s.recentlyFull(m.now)
 		if share := m.share(r); share < 1 {
 			bound.Limit = max(1, int(share*float64(request.Limit)))
 			if m.draw >= share {
