--- a/plan/queue.go
+++ b/plan/queue.go
@@ -198,7 +198,7 @@
 // always gets a chance. Share is the wait for tokens of the plan alone.
 func (m *Admitter) expectedWait(sq *serviceQueue, f *flow, cost int, now time.Time) (load, share time.Duration) {
 	if sq.ranked {
-		return sq.expectedRankedWait(f), 0
+		return sq.expectedRankedWait(f, now), 0
 	}
 	share = m.quotas[f.plan].tokenDelay(float64(m.backlogCost[f.plan]))
 	rate := sq.throughput()
--- a/plan/ranks.go
+++ b/plan/ranks.go
@@ -24,7 +24,8 @@
 
 	occupancyTime = windowTime // over which the occupancy is averaged; shorter than a limit needs to change
 
-	lightHeadroom = 2.0 // multiple of the limit for flows that had less than their turn
+	lightHeadroom = 2.0 // multiple of the limit for flows that were not served much more than others
+	lightFactor   = 1.5 // multiple of the mean of a pool's flows from which one was served much more
 
 	rankedWaitDivisor   = 4                      // a tenant's request waits for at most 1/4 of its objective
 	minRankedRetryAfter = 100 * time.Millisecond // about as long as a replica needs to free capacity
@@ -67,6 +68,9 @@
 	return s.at.IsZero() || (s.inTime+s.other)*s.decay(now) < forgottenCount
 }
 
+// recent returns the number of requests that were answered in time lately.
+func (s servedShare) recent(now time.Time) float64 { return s.inTime * s.decay(now) }
+
 // share returns the share of the requests that were answered in time. priorResults count
 // as such beforehand, so that one refusal does not make a flow count as starved.
 func (s servedShare) share() float64 {
@@ -82,14 +86,17 @@
 	return f.rank
 }
 
-// light reports whether the flow had less than its turn.
-func (sq *serviceQueue) light(f *flow) bool { return f.finishTag <= sq.virtualTime }
+// light reports whether the flow was not served much more than others lately.
+func (sq *serviceQueue) light(f *flow, now time.Time) bool {
+	mean := sq.served.recent(now) / float64(max(1, len(sq.flows)))
+	return f.served.recent(now) <= max(1, lightFactor*mean)
+}
 
 // size returns the limit for requests of the flow. Light flows have more room than others,
 // so that those who ask for most yield first at each daemon.
-func (sq *serviceQueue) size(f *flow) float64 {
+func (sq *serviceQueue) size(f *flow, now time.Time) float64 {
 	size := sq.room.sizes[classOf(sq.urgency(f))]
-	if sq.light(f) {
+	if sq.light(f, now) {
 		size *= lightHeadroom
 	}
 	return size
@@ -99,9 +106,9 @@
 // limit may be less than one request: urgent requests of light flows are rounded up, and
 // others start alone only while the mean occupancy, of all requests, is within the limit.
 func (sq *serviceQueue) fitsRanked(f *flow, cost int, now time.Time) bool {
-	size := sq.size(f)
+	size := sq.size(f, now)
 	switch {
-	case sq.urgency(f) <= 0 && sq.light(f):
+	case sq.urgency(f) <= 0 && sq.light(f, now):
 		return sq.running == 0 || float64(sq.running) < size
 	case sq.running == 0:
 		return sq.occupancy.with(0, now).mean <= size
@@ -146,11 +153,11 @@
 // expectedRankedWait estimates how long a request of a tenant's flow waits: until the
 // backlog of the more urgent flows and, in turns, of those of equal urgency is served at
 // the present rate. A flow's first request waits for the more urgent flows alone.
-func (sq *serviceQueue) expectedRankedWait(f *flow) time.Duration {
+func (sq *serviceQueue) expectedRankedWait(f *flow, now time.Time) time.Duration {
 	if sq.meanHold <= 0 {
 		return 0
 	}
-	rate := sq.size(f) / sq.meanHold.Seconds()
+	rate := sq.size(f, now) / sq.meanHold.Seconds()
 	urgency := sq.urgency(f)
 	ahead := f.backlog
 	for _, g := range sq.flows {
@@ -193,7 +200,7 @@
 	delay := float64(max(wait, minRankedRetryAfter)) / max(minRetryShare, f.served.share())
 	return &overloadError{
 		refusal: &ramp.RefusedError{Reason: ramp.ReasonLoad, Ran: ramp.NotRun, RetryAfter: spread(time.Duration(delay))},
-		limit:   sq.size(f), limitAge: now.Sub(sq.room.windowStart), running: sq.running,
+		limit:   sq.size(f, now), limitAge: now.Sub(sq.room.windowStart), running: sq.running,
 		waiting: sq.waiting, wait: wait, maxWait: w.maxWait, waited: now.Sub(w.queuedAt), hold: sq.meanHold,
 		served: f.served.share(),
 	}
