soak: play tenants, keys and allowances

Keys are taken away during faults: while all daemons are cut off from the store, or one is frozen, both for longer than revokeMs. Each change in a phase without faults also sets another allowance. Replicas check the tenant, that no key arrives, and that no key is used later than revokeMs after it was taken away; the end of a run checks the requests of each tenant in any window.

--- a/internal/cmd/soak/main.go
+++ b/internal/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Daemons int           `arg:"--daemons" default:"5" help:"processes of a seed"`
 	Callers int           `arg:"--callers" default:"12" help:"callers of a seed"`
 	Length  time.Duration `arg:"--length" default:"20s" help:"time of faults and calm"`
+	Tenants bool          `arg:"--tenants" help:"requests have keys of tenants with allowances"`
 	Logs    string        `arg:"--logs" default:".bin/soaked" help:"folder for settings and logs of seeds that fail"`
 }
 
@@ -49,6 +50,7 @@
 			dir := filepath.Join(a.Logs, fmt.Sprintf("seed-%d", seed))
 			report, err := soak.Run(context.Background(), soak.Config{
 				Seed: seed, Daemons: a.Daemons, Callers: a.Callers, Length: a.Length, Binary: a.Binary, Dir: dir,
+				Tenants: a.Tenants,
 			})
 			mutex.Lock()
 			defer mutex.Unlock()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -27,6 +27,7 @@
 	cluster *cluster
 	name    string
 	random  *rand.Rand
+	liveKey bool // requests have a key in force, of a tenant without a limit
 
 	daemon *process
 	conn   net.Conn
@@ -84,6 +85,7 @@
 	}
 	_ = response.Body.Close() // it was read
 	c.checkResponse(id, method, path, response, got, began, before)
+	c.checkStatus(id, response.StatusCode, began)
 	if response.Close {
 		c.disconnect()
 	}
@@ -99,6 +101,11 @@
 func (c *caller) exchange(method, path, id, body string) (*http.Response, []byte, error) {
 	const format = "%s %s HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 800\r\n"
 	head := fmt.Sprintf(format, method, path, id)
+	if t := c.cluster.tenants; t != nil {
+		if k := t.draw(id, c.random, c.liveKey); k.text != "" {
+			head += "X-Credential: " + k.text + "\r\nX-Tenant: forged\r\n"
+		}
+	}
 	if body != "" {
 		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
@@ -148,7 +155,8 @@
 			l.check("config", true, "") // the route that only the newest version has is in force
 		}
 		c.checkSingle(id, method, r, body, runs)
-	case r.StatusCode == http.StatusServiceUnavailable:
+	case r.StatusCode == http.StatusServiceUnavailable, r.StatusCode == http.StatusTooManyRequests,
+		r.StatusCode == http.StatusUnauthorized:
 		l.check("refused", len(runs) == 0, "%s was refused as not run and ran %d times", id, len(runs))
 		if len(runs) == 0 {
 			time.AfterFunc(time.Second, func() {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -25,6 +25,7 @@
 	mutex  sync.Mutex // guards the fields below
 	target string
 	mode   mode
+	cut    int // faults that drop all bytes, whatever the mode
 	conns  map[net.Conn]bool
 }
 
@@ -67,7 +68,21 @@
 func (p *proxy) currentMode() mode {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.mode
+	m := p.mode
+	m.dropAll = m.dropAll || p.cut > 0
+	return m
+}
+
+// cutOff drops all bytes until the returned function is called, whatever the mode.
+func (p *proxy) cutOff() (end func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cut++
+	return func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.cut--
+	}
 }
 
 func (p *proxy) currentTarget() string {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -223,6 +223,7 @@
 		late := time.Since(left) - drainBound
 		r.cluster.ledger.check("drain", late <= 0, "%s reached %s %s after its drain bound", id, r.instance.ID, late)
 	}
+	r.cluster.tenants.checkArrival(r.cluster.ledger, id, request)
 	if r.speak(w.Header(), acts) || acts == shedding {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -238,6 +239,7 @@
 		status = http.StatusInternalServerError
 	}
 	r.cluster.ledger.begin(id, run{service: r.instance.Service, stamp: stamp, status: status, at: time.Now()})
+	r.cluster.tenants.count(id)
 	r.work(request, acts)
 	r.answer(w, acts, id, stamp, status, append(recordsOf(id, r.instance.Service), body...))
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,7 @@
 	Daemons int           // processes
 	Callers int           // at once
 	Length  time.Duration // of phases with and without faults together
+	Tenants bool          // requests have keys of tenants with allowances
 	Binary  string        // path of the daemon's binary
 	Dir     string        // folder for settings and logs
 }
@@ -78,7 +79,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w, err := newCluster(ctx, c.Seed, c.Daemons, c.Binary, dir)
+	w, err := newCluster(ctx, c, dir)
 	if err != nil {
 		return Report{}, err
 	}
@@ -100,6 +101,7 @@
 	w.finalChecks()
 	cancel()
 	calling.Wait()
+	w.tenants.checkAllowances(w.ledger)
 	report := Report{Seed: c.Seed, Faults: s.history, Checks: w.ledger.seen, Violations: w.ledger.violations}
 	for _, one := range callers {
 		report.Asked += one.asked
@@ -110,7 +112,7 @@
 
 // finalChecks checks that callers are served when all faults have ended.
 func (w *cluster) finalChecks() {
-	one := &caller{cluster: w, name: "last", random: w.random(2)}
+	one := &caller{cluster: w, name: "last", random: w.random(2), liveKey: true}
 	until := time.Now().Add(finalCheckTime)
 	for time.Now().Before(until) {
 		one.sendRequest()
@@ -138,8 +140,7 @@
 // injectFaults starts overlapping faults for a time and waits until all have ended.
 func (s *faultInjector) injectFaults(length time.Duration) {
 	var lasting sync.WaitGroup
-	for end := time.Now().Add(length); time.Now().Before(end); {
-		name, fault := s.draw()
+	begin := func(name string, fault func(time.Duration)) {
 		took := time.Duration(500+s.random.IntN(2500)) * time.Millisecond
 		s.history = append(s.history, fmt.Sprintf("%s %s", name, took))
 		ended := s.cluster.beginFault()
@@ -147,6 +148,13 @@
 			fault(took)
 			ended()
 		})
+	}
+	if keys := s.cluster.ofKeys(s.cluster.daemons[0]); keys != nil {
+		f := keys[1+s.random.IntN(len(keys)-1)] // a run has at least one that outlasts the bound
+		begin(f.name, f.play)
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		begin(s.draw())
 		time.Sleep(time.Duration(200+s.random.IntN(900)) * time.Millisecond)
 	}
 	lasting.Wait()
@@ -166,7 +174,7 @@
 	w.mutex.Lock()
 	r := w.replicas[s.random.IntN(len(w.replicas))]
 	w.mutex.Unlock()
-	faults := slices.Concat(w.ofDaemon(d), w.ofStore(d), ofPeers(d), ofReplica(r))
+	faults := slices.Concat(w.ofDaemon(d), w.ofStore(d), ofPeers(d), ofReplica(r), w.ofKeys(d))
 	f := faults[s.random.IntN(len(faults))]
 	return f.name, f.play
 }
@@ -272,6 +280,9 @@
 		}
 		time.Sleep(time.Second)
 	}
+	if w.tenants != nil {
+		w.tenants.change(float64(5 + s.random.IntN(30)))
+	}
 	s.checkChange(w.configure(set, fmt.Sprintf("/added%d/", s.random.IntN(1000))))
 	w.mutex.Lock()
 	r := w.replicas[s.random.IntN(len(w.replicas))]
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -40,6 +40,7 @@
 	Routes   []map[string]any `json:"routes"`
 	Services []map[string]any `json:"backends"`
 	Limits   map[string]any   `json:"limits"`
+	Tenants  []map[string]any `json:"tenants,omitempty"`
 }
 
 // version is a configuration with the time at which the store acknowledged it.
@@ -52,14 +53,15 @@
 
 // cluster holds the daemons of one run and the stand-ins and proxies around them.
 type cluster struct {
-	seed   uint64
-	host   string
-	dir    string
-	binary string
-	ledger *ledger
-	store  *standin.Platform
-	server *http.Server
-	ctx    context.Context
+	seed    uint64
+	host    string
+	dir     string
+	binary  string
+	ledger  *ledger
+	store   *standin.Platform
+	server  *http.Server
+	tenants *tenants // nil if requests have no keys
+	ctx     context.Context
 
 	mutex     sync.Mutex // guards the fields below
 	started   int        // replicas
@@ -125,7 +127,7 @@
 	once["backend"] = "one"
 	config := configWire{Version: number, Routes: []map[string]any{all, read, once}, Limits: map[string]any{
 		"maxBodyBytes": 100000, "idleTimeoutMs": 15000,
-	}}
+	}, Tenants: w.tenants.wire()}
 	if extra != "" {
 		added := route("added", extra, "idempotent")
 		added["backend"] = "two"
@@ -141,9 +143,11 @@
 	if err := w.put("op/config", value); err != nil {
 		return err
 	}
+	acked := time.Now()
+	w.tenants.acknowledge(acked)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.versions[at].acked = time.Now()
+	w.versions[at].acked = acked
 	return nil
 }
 
@@ -263,12 +267,15 @@
 
 // newCluster starts stand-ins and daemons. Daemons listen on loopback addresses that
 // belong to the seed.
-func newCluster(ctx context.Context, seed uint64, daemons int, binary, dir string) (*cluster, error) {
-	octet := 2 + int(seed%120)
+func newCluster(ctx context.Context, c Config, dir string) (*cluster, error) {
+	octet := 2 + int(c.Seed%120)
 	w := &cluster{
-		seed: seed, host: fmt.Sprintf("127.%d.0.1", octet), dir: dir, binary: binary, ledger: newLedger(),
+		seed: c.Seed, host: fmt.Sprintf("127.%d.0.1", octet), dir: dir, binary: c.Binary, ledger: newLedger(),
 		store: standin.NewPlatform(), ctx: ctx, lastFault: time.Now(),
 	}
+	if c.Tenants {
+		w.tenants = newTenants(time.Now())
+	}
 	listener, err := net.Listen("tcp", w.host+":0")
 	if err != nil {
 		return nil, err
@@ -288,7 +295,7 @@
 	if err := w.configure(w.shardSet(0), ""); err != nil {
 		return nil, err
 	}
-	for i := range daemons {
+	for i := range c.Daemons {
 		p := &process{
 			cluster: w, name: fmt.Sprintf("d%d", i+1), ip: fmt.Sprintf("127.%d.1.%d", octet, i+1), zone: zones[i%len(zones)],
 		}
@@ -301,9 +308,12 @@
 		w.daemons = append(w.daemons, p)
 	}
 	w.store.RewriteValue = w.throughProxies
-	seeds := []any{w.daemons[0].peers.address(), w.daemons[min(1, daemons-1)].peers.address()}
+	seeds := []any{w.daemons[0].peers.address(), w.daemons[min(1, c.Daemons-1)].peers.address()}
 	for _, p := range w.daemons {
 		text := fmt.Sprintf(settingsFile, slices.Concat([]any{p.name, p.ip, p.zone}, seeds, []any{p.store.address()})...)
+		if w.tenants != nil {
+			text = strings.Replace(text, "[platform]", tenantSettings+"[platform]", 1)
+		}
 		if err := os.WriteFile(p.settings(), []byte(text), 0o600); err != nil {
 			return nil, err
 		}
