--- a/replica/balance.go
+++ b/replica/balance.go
@@ -326,7 +326,8 @@
 	for i, o := range options {
 		if o.health == health {
 			indices = append(indices, i)
-			b.candidates = append(b.candidates, newCandidate(o.stats, p.queuePenalty(o.registration, o.stats, now), b.assumed, now))
+			penalty := p.queuePenalty(o.registration, o.stats, now)
+			b.candidates = append(b.candidates, newCandidate(o.stats, penalty, b.assumed, now))
 		}
 	}
 	if !b.active() {
