--- a/bench/tenants_test.go
+++ b/bench/tenants_test.go
@@ -123,7 +123,6 @@
 			flooded := fleet.withTenant(0, 9*usual).measureTenants(t)
 			_, before := fleet.sum(calm)
 			_, after := fleet.sum(flooded)
-			t.Logf("%+v\n%+v\n%+v", before, after, flooded["tenant9"])
 			t.Logf("others %.3f in time with the flood, %.3f without; flood %.3f", after.share(), before.share(),
 				flooded["tenant9"].share())
 			if after.share() < before.share()-0.05 {
@@ -143,7 +142,7 @@
 			home int
 		}{{"even", 0, 0}, {"slow replicas", 0.15, 0}, {"one daemon", 0, 1}, {"one daemon and slow replicas", 0.15, 1}} {
 			t.Run(name+", "+test.name, func(t *testing.T) {
-				load := fleet.withRanks(0.25)
+				load := fleet.withRanks(0.15).withTenant(1, 0.1) // the last one has six times the mean
 				load.slow, load.slowFactor = test.slow, 12
 				for i := range load.tenants {
 					load.tenants[i].home = test.home
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -169,8 +168,8 @@
 	m.setGauge("waiting", float64(s.Waiting))
 	for _, l := range s.Limits {
 		tags := map[string]string{tagService: m.boundedTag(l.Service)}
-		if l.Ranked {
-			tags["priority"] = strconv.Itoa(l.Priority)
+		if l.Class != "" {
+			tags["priority"] = l.Class
 		}
 		m.reporter.AllocateGauge("sycamoreramp_limit", tags).ReportGauge(l.Size)
 	}
--- a/plan/admission.go
+++ b/plan/admission.go
@@ -15,6 +15,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -464,12 +465,14 @@
 
 // ServiceLimit is the adaptive concurrency limit of a service.
 type ServiceLimit struct {
-	Service  string // or pool
-	Ranked   bool   // it is for tenants' requests of the rank Priority, or of that and lower ranks
-	Priority int
-	Size     float64 // in sub-requests
+	Service string  // or pool of services
+	Class   string  // rank of the tenants' requests that it is for, or [ClassBeyond]; "" for queries
+	Size    float64 // in sub-requests
 }
 
+// ClassBeyond is the class of tenants that were served much more than others.
+const ClassBeyond = "beyond"
+
 // State returns the admitter's current load and limits.
 func (m *Admitter) State() State {
 	m.mutex.Lock()
@@ -481,8 +484,9 @@
 			continue
 		}
 		for c, size := range sq.room.sizes {
-			s.Limits = append(s.Limits, ServiceLimit{Service: sq.service, Ranked: true, Priority: c, Size: size})
+			s.Limits = append(s.Limits, ServiceLimit{Service: sq.service, Class: strconv.Itoa(c), Size: size})
 		}
+		s.Limits = append(s.Limits, ServiceLimit{Service: sq.service, Class: ClassBeyond, Size: sq.room.beyond})
 	}
 	return s
 }
--- a/plan/ranks.go
+++ b/plan/ranks.go
@@ -25,7 +25,7 @@
 	occupancyTime = windowTime // over which the occupancy is averaged; shorter than a limit needs to change
 
 	lightHeadroom = 2.0 // multiple of the limit for flows that were not served much more than others
-	lightFactor   = 1.5 // multiple of the mean of a pool's flows from which one was served much more
+	lightFactor   = 2.5 // multiple of the mean of a pool's flows from which one was served much more
 
 	rankedWaitDivisor   = 4                      // a tenant's request waits for at most 1/4 of its objective
 	minRankedRetryAfter = 100 * time.Millisecond // about as long as a replica needs to free capacity
@@ -86,10 +86,16 @@
 	return f.rank
 }
 
-// light reports whether the flow was not served much more than others lately.
+// light reports whether the flow was not served much more than others of its rank lately.
 func (sq *serviceQueue) light(f *flow, now time.Time) bool {
-	mean := sq.served.recent(now) / float64(max(1, len(sq.flows)))
-	return f.served.recent(now) <= max(1, lightFactor*mean)
+	sum, flows := 0.0, 0
+	for _, g := range sq.flows {
+		if g.rank == f.rank {
+			sum += g.served.recent(now)
+			flows++
+		}
+	}
+	return f.served.recent(now) <= max(1, lightFactor*sum/float64(max(1, flows)))
 }
 
 // size returns the limit for requests of the flow. Light flows have more room than others,
@@ -97,9 +103,9 @@
 func (sq *serviceQueue) size(f *flow, now time.Time) float64 {
 	size := sq.room.sizes[classOf(sq.urgency(f))]
 	if sq.light(f, now) {
-		size *= lightHeadroom
+		return lightHeadroom * size
 	}
-	return size
+	return min(size, sq.room.beyond)
 }
 
 // fitsRanked reports whether a tenant's request is within the limit of its class. The
--- a/plan/room.go
+++ b/plan/room.go
@@ -22,11 +22,16 @@
 	// maxLackingShare is the share of requests or attempts without room above which limits
 	// shrink. Urgent requests must be served in time 95 times in 100, whoever floods.
 	maxLackingShare = 0.03
-	// minShort is the number of requests without room, after decay, from which they count:
-	// two of about a second. A single one may be due to slow replicas.
-	minShort   = 1.5
-	memoryTime = time.Second
-	maxWindows = 8.0 // multiples of windowTime that one window counts for
+	// minCalmShort and minShort are the numbers of requests without room in about a second
+	// from which they count, in calm and within overloadTime after a limit shrank. A few may
+	// be due to slow replicas.
+	minCalmShort = 2.5
+	minShort     = 1.5
+	memoryTime   = time.Second
+	// overloadTime is the time since a limit shrank for which a single request without room
+	// counts against the tenants that were served much more than others.
+	overloadTime = 2 * time.Second
+	maxWindows   = 8.0 // multiples of windowTime that one window counts for
 	// roomGrowth is the part of a request by which a limit grows for each windowTime since it
 	// shrank, so that it passes one request after about a second and ten after three.
 	roomGrowth = 0.0625
@@ -65,6 +70,7 @@
 // It is an immutable value.
 type roomLimit struct {
 	sizes   [classes]float64 // in sub-requests, from 1 to ceiling
+	beyond  float64          // limit for flows that were served much more than others, in addition to that of their class
 	ceiling float64          // at least 1
 	calm    [classes]float64 // time since the limit of the class last shrank, in multiples of windowTime
 	// pastEnded and pastShort count the requests of earlier windows since a limit last
@@ -91,7 +97,7 @@
 // newRoomLimit returns limits that start at the ceiling: requests are refused only after
 // they lacked room.
 func newRoomLimit(ceiling int) roomLimit {
-	l := roomLimit{ceiling: max(1, float64(ceiling))}
+	l := roomLimit{ceiling: max(1, float64(ceiling)), beyond: max(1, float64(ceiling))}
 	for c := range l.sizes {
 		l.sizes[c] = l.ceiling
 	}
@@ -144,7 +150,8 @@
 	}
 	windows := min(maxWindows, float64(now.Sub(l.windowStart))/float64(windowTime))
 	l = l.withRate(now)
-	lacking, yields := l.lacking(), l.yielding()
+	overloaded := !l.cutAt.IsZero() && now.Sub(l.cutAt) < overloadTime
+	lacking, yields := l.lacking(overloaded), l.yielding()
 	if yields == urgentClass && l.freshShort == 0 {
 		yields = middleClass // the requests that lacked room were admitted before others yielded
 	}
@@ -163,8 +170,14 @@
 			l.sizes[c] = min(l.ceiling, size+step)
 		}
 	}
+	if doubt := max(lacking, l.doubt()); doubt > maxLackingShare && (lacking > maxLackingShare || overloaded) {
+		l.beyond = l.cut(l.beyond, doubt)
+	} else if l.peak >= l.beyond*inUseShare {
+		l.beyond = min(l.ceiling, l.beyond+max(l.beyond*growthShare, roomGrowth*windows*float64(l.largest)))
+	}
 	next := roomLimit{
-		sizes: l.sizes, ceiling: l.ceiling, calm: l.calm, cutAt: cutAt, rate: l.rate, hold: l.hold.nextWindow(),
+		sizes: l.sizes, beyond: l.beyond, ceiling: l.ceiling, calm: l.calm, cutAt: cutAt, rate: l.rate,
+		hold:        l.hold.nextWindow(),
 		windowStart: now,
 	}
 	if lacking <= maxLackingShare {
@@ -189,17 +202,30 @@
 
 // lacking returns the share of the attempts or requests that lacked room, whichever is
 // greater, and 0 if they were too few to count.
-func (l roomLimit) lacking() float64 {
+func (l roomLimit) lacking(overloaded bool) float64 {
 	share := 0.0
 	if l.attempts >= minAttempts {
 		share = float64(l.refused) / float64(l.attempts)
 	}
-	if short := float64(l.short) + l.pastShort; l.short > 0 && short >= minShort {
-		share = max(share, short/(float64(l.ended)+l.pastEnded))
+	enough := minCalmShort
+	if overloaded {
+		enough = minShort
+	}
+	if float64(l.short)+l.pastShort >= enough {
+		share = max(share, l.doubt())
 	}
 	return share
 }
 
+// doubt returns the share of the requests of about a second that lacked room, and 0 if none
+// did in the current window. It may be due to a single request.
+func (l roomLimit) doubt() float64 {
+	if l.short == 0 {
+		return 0
+	}
+	return (float64(l.short) + l.pastShort) / (float64(l.ended) + l.pastEnded)
+}
+
 // cut returns the limit after the given share lacked room. It does not fall below what is
 // in progress at the present rate if no request waits for another, and falls to a little
 // above that at once if most lacked room.
