plan: do not shrink limits by one refused attempt

A single attempt that a replica refused as full, of 16 in a window, counted as lack of room although the request was answered by another replica.

--- a/plan/room.go
+++ b/plan/room.go
@@ -22,9 +22,9 @@
 	// maxLackingShare is the share of requests or attempts without room above which limits
 	// shrink. Urgent requests must be served in time 95 times in 100, whoever floods.
 	maxLackingShare = 0.03
-	// minCalmShort and minShort are the numbers of requests without room in about a second
-	// from which they count, in calm and within overloadTime after a limit shrank. A few may
-	// be due to slow replicas.
+	// minCalmShort and minShort are the numbers of requests without room in about a second,
+	// and of refused attempts in a window, from which they count, in calm and within
+	// overloadTime after a limit shrank. A few may be due to slow replicas.
 	minCalmShort = 2.5
 	minShort     = 1.5
 	memoryTime   = time.Second
@@ -86,9 +86,8 @@
 	attempts    int              // sent by requests that ended in the current window
 	refused     int              // of the attempts, those that replicas refused as full
 	largest     int              // greatest cost of a request that ended in the current window
-	fresh       int              // of ended, those admitted since cutAt
-	freshShort  int              // of these, those that lacked room
-	cost        int              // of ended, in sub-requests
+	freshShort  int              // of short, those admitted since cutAt
+	cost        int              // of ended, those with room, in sub-requests
 	peak        float64          // most sub-requests in progress in the current window
 	admitted    [classes]float64 // sub-requests admitted, with those of earlier windows decayed
 	blocked     [classes]bool    // a request did not fit in the current window
@@ -127,11 +126,8 @@
 		l.cost += s.cost
 	}
 	l.hold = l.hold.with(max(1, now.Sub(admitted)))
-	if !admitted.Before(l.cutAt) {
-		l.fresh++
-		if s.short {
-			l.freshShort++
-		}
+	if s.short && !admitted.Before(l.cutAt) {
+		l.freshShort++
 	}
 	l.attempts += s.attempts
 	l.refused += s.refused
@@ -203,14 +199,13 @@
 // lacking returns the share of the attempts or requests that lacked room, whichever is
 // greater, and 0 if they were too few to count.
 func (l roomLimit) lacking(overloaded bool) float64 {
-	share := 0.0
-	if l.attempts >= minAttempts {
-		share = float64(l.refused) / float64(l.attempts)
-	}
-	enough := minCalmShort
+	share, enough := 0.0, minCalmShort
 	if overloaded {
 		enough = minShort
 	}
+	if l.attempts >= minAttempts && float64(l.refused) >= enough {
+		share = float64(l.refused) / float64(l.attempts)
+	}
 	if float64(l.short)+l.pastShort >= enough {
 		share = max(share, l.doubt())
 	}
