platform, cmd: check a configuration before it is sent

Cause: an operator learned of a faulty configuration only when daemons refused it, and of a shadowed route or contradicting limits not at all.

--- a/cmd/sycamoreramp/settings.go
+++ b/cmd/sycamoreramp/settings.go
@@ -74,6 +74,8 @@
 	Tool      []string `arg:"--tool,separate" help:"settings files of this tool"`
 	Customers string   `arg:"--customers" help:"TOML file with the customers; needs --plans"`
 	Plans     string   `arg:"--plans" help:"TOML file with the plans; needs --customers"`
+	Config    string   `arg:"--config" help:"configuration for the users' platform, before it is sent"`
+	Against   string   `arg:"--against" help:"the configuration in force, which --config is compared to"`
 	Example   string   `arg:"--example" placeholder:"daemon|tool" help:"print a settings file with every setting"`
 }
 
@@ -116,6 +118,14 @@
 	if c.Customers != "" || c.Plans != "" {
 		record(c.Customers+" and "+c.Plans, c.checkLists())
 	}
+	if c.Against != "" && c.Config == "" {
+		return &exitError{Code: exitUsage, Cause: errors.New("--against needs --config")}
+	}
+	if c.Config != "" {
+		changes, err := c.checkConfig()
+		record(c.Config, err)
+		results[len(results)-1].Changes = changes
+	}
 	if err := c.printResults(t.out, results); err != nil {
 		return err
 	}
@@ -130,6 +140,8 @@
 	File   string   `json:"file"`
 	OK     bool     `json:"ok"`
 	Errors []string `json:"faults,omitempty"`
+
+	Changes []platform.ConfigChange `json:"changes,omitempty"` // from the configuration in force
 }
 
 // printResults writes the results. As text it writes only the valid files: the errors
@@ -143,11 +155,32 @@
 			if v.OK {
 				fmt.Fprintf(w, "%s: ok\n", v.File)
 			}
+			for _, change := range v.Changes {
+				fmt.Fprintln(w, change)
+			}
 		}
 		return nil
 	})
 }
 
+// checkConfig checks the configuration, also as the successor of the one in force if that is
+// given, and returns what it changes.
+func (c *checkCommand) checkConfig() ([]platform.ConfigChange, error) {
+	config, err := platform.ReadConfig(c.Config)
+	if err != nil {
+		return nil, err
+	}
+	faults := config.Faults()
+	if c.Against == "" {
+		return nil, errors.Join(faults...)
+	}
+	inForce, err := platform.ReadConfig(c.Against)
+	if err != nil {
+		return nil, errors.Join(append(faults, err)...)
+	}
+	return config.ChangesFrom(inForce), errors.Join(append(faults, config.FaultsAgainst(inForce)...)...)
+}
+
 // checkLists parses and validates the customers and the plans.
 func (c *checkCommand) checkLists() error {
 	customers, err := os.ReadFile(c.Customers)
