soak: refuse to share addresses with another run

Cause: the addresses of a run follow from its seed, so two runs of one seed at the same time (two worktrees, or seeds that differ by a multiple of 120) reached each other's daemons.

Change: a run listens on one of its addresses until it ends, and fails to start while another run does.

TestAddressesAreUsedOnce.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -186,3 +186,22 @@
 	}
 	golden.Check(t, "statements", b.String())
 }
+
+// TestAddressesAreUsedOnce checks that a second run with the addresses of another one does
+// not start: its callers would reach the daemons of the first.
+func TestAddressesAreUsedOnce(t *testing.T) {
+	const host = "127.250.0.1" // no seed has it
+	claim, err := claimAddresses(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := claimAddresses(host); err == nil {
+		t.Error("a second run could start")
+	}
+	_ = claim.Close()
+	again, err := claimAddresses(host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = again.Close()
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -60,7 +60,8 @@
 	ledger  *ledger
 	store   *standin.Platform
 	server  *http.Server
-	tenants *tenants // nil if requests have no keys
+	claim   net.Listener // held during the run, see claimAddresses
+	tenants *tenants     // nil if requests have no keys
 	ctx     context.Context
 
 	mutex     sync.Mutex // guards the fields below
@@ -276,6 +277,10 @@
 	if c.Tenants {
 		w.tenants = newTenants(time.Now())
 	}
+	var err error
+	if w.claim, err = claimAddresses(w.host); err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", w.host+":0")
 	if err != nil {
 		return nil, err
@@ -324,6 +329,16 @@
 	return w, nil
 }
 
+// claimAddresses keeps the addresses of a run until the listener is closed. Otherwise callers
+// of another run with these addresses would be served by the daemons of this one.
+func claimAddresses(host string) (net.Listener, error) {
+	claim, err := net.Listen("tcp", host+":8104")
+	if err != nil {
+		return nil, fmt.Errorf("another run uses these addresses: %w", err)
+	}
+	return claim, nil
+}
+
 // throughProxies makes daemons register the proxies in front of them, so that
 // others reach them only there.
 func (w *cluster) throughProxies(key string, value []byte) []byte {
@@ -360,6 +375,7 @@
 		r.proxy.close()
 	}
 	_ = w.server.Close()
+	_ = w.claim.Close()
 }
 
 // random returns a source of random numbers for one part of the run.
