--- a/bench/tenants.go
+++ b/bench/tenants.go
@@ -95,7 +95,7 @@
 			Clock: clock, Capacity: 5120, Floor: 1, Members: func() []ramp.Daemon { return nil },
 			Lists: func() ramp.Lists { return ramp.Lists{} },
 		}),
-		Clock: clock, Log: probeLog, Routes: routes, Capacity: picker.Capacity,
+		Clock: clock, Log: slog.New(slog.DiscardHandler), Routes: routes, Capacity: picker.Capacity,
 	}
 }
 
@@ -181,5 +181,3 @@
 	}
 	return t
 }
-
-var probeLog = slog.New(slog.DiscardHandler)
