plan: grant a tenant's allowance evenly over a window

Cause: after a surge of a window's whole allowance, a tenant was refused until the window had passed. Change: an established account also has a bucket, which fills with the rate and, in each window, the burst.

--- a/plan/allowance.go
+++ b/plan/allowance.go
@@ -49,7 +49,9 @@
 // account is the account of a tenant's allowance. It is an immutable value.
 //
 // An established account grants what the allowance permits in any window: the rate times
-// the window and the burst. Only one daemon may have one, but
+// the window and the burst. It does so evenly, by a token bucket that fills with the burst in
+// each window besides the rate, so that a tenant that sends too much is not refused for most
+// of a window after its first requests. Only one daemon may have one, but
 // for the time in which a departure becomes known: the daemon that has ranked first among
 // all registered members for a window, while it is in contact with the store or a
 // majority. Any other
@@ -59,7 +61,7 @@
 	version     uint64 // version of the configuration that rate and burst are from
 	rate        float64
 	burst       float64
-	tokens      float64   // that may be granted now; below 0 after the allowance was lowered
+	tokens      float64   // in the bucket
 	refilled    time.Time // last time that tokens were added; zero if the account is new
 	firstSince  time.Time // when the daemon began to rank first; zero if it does not
 	lostAt      time.Time // when the daemon of an established account ceased to rank first; zero if it does
@@ -71,7 +73,8 @@
 	exceeding   bool      // the beginning of refusals was reported, and their end was not
 
 	recent  recentGrants // of an established account
-	counted bool         // recent is in use
+	counted bool         // recent and left are in use
+	left    float64      // tokens left in the window; below 0 after the allowance was lowered
 }
 
 // WithAllowance returns the account with the rate and burst of the given version of the
@@ -130,17 +133,15 @@
 	return a.rate*b.Window.Seconds() + a.burst + 1
 }
 
-// accrual returns the tokens per second that the account gets while it has no record of a
-// whole window.
+// accrual returns the tokens per second that the bucket gets.
 func (a account) accrual(b ramp.QuotaBounds) float64 {
 	if a.established {
-		return a.rate
+		return a.rate + a.burst/b.Window.Seconds()
 	}
 	return min(a.rate, partialRateShare*tolerance(b, a.rate, a.burst)/b.Window.Seconds())
 }
 
-// size returns the most tokens that the account may have while it has no record of a whole
-// window.
+// size returns the most tokens that the bucket may have.
 func (a account) size(b ramp.QuotaBounds) float64 {
 	size := a.burst + 1
 	if a.established {
@@ -152,13 +153,11 @@
 // WithRefill returns the account with the tokens that it may grant now.
 func (a account) WithRefill(b ramp.QuotaBounds, now time.Time) account {
 	a.counted = a.counted && a.established
-	if !a.counted {
-		if elapsed := now.Sub(a.refilled); elapsed > 0 {
-			a.tokens += a.accrual(b) * elapsed.Seconds()
-		}
-		a.tokens = min(a.tokens, a.size(b))
+	if elapsed := now.Sub(a.refilled); elapsed > 0 {
+		a.tokens += a.accrual(b) * elapsed.Seconds()
+		a.refilled = now
 	}
-	a.refilled = now
+	a.tokens = min(a.tokens, a.size(b))
 	if !a.established {
 		return a
 	}
@@ -166,10 +165,18 @@
 		a.recent, a.counted = a.assumedGrants(b, now), true
 	}
 	a.recent = a.recent.advanced(b.Window, now)
-	a.tokens = a.capacity(b) - a.recent.sum()
+	a.left = a.capacity(b) - a.recent.sum()
 	return a
 }
 
+// available returns the tokens that may be granted now.
+func (a account) available() float64 {
+	if a.counted {
+		return min(a.tokens, a.left)
+	}
+	return a.tokens
+}
+
 // assumedGrants returns what counts as granted in the last window when the account becomes
 // established. Another daemon may have had it until a window after this one ranked first.
 func (a account) assumedGrants(b ramp.QuotaBounds, now time.Time) recentGrants {
@@ -181,19 +188,18 @@
 
 // WithReturned returns the account with tokens that were granted and not used.
 func (a account) WithReturned(tokens int, b ramp.QuotaBounds) account {
-	if !a.counted {
-		a.tokens = min(a.tokens+float64(tokens), a.size(b))
-		return a
+	a.tokens = min(a.tokens+float64(tokens), a.size(b))
+	if a.counted {
+		a.recent = a.recent.withReturned(float64(tokens))
+		a.left = a.capacity(b) - a.recent.sum()
 	}
-	a.recent = a.recent.withReturned(float64(tokens))
-	a.tokens = a.capacity(b) - a.recent.sum()
 	return a
 }
 
 // WithTaken returns the account without the wanted tokens, or without those that there
 // are, and their number.
 func (a account) WithTaken(wanted int, now time.Time) (account, int) {
-	tokens := min(wanted, int(math.Floor(a.tokens+tokenRounding)))
+	tokens := min(wanted, int(math.Floor(a.available()+tokenRounding)))
 	if tokens <= 0 {
 		a.refused++
 		a.refusedAt = now
@@ -202,21 +208,21 @@
 	a.tokens -= float64(tokens)
 	a.granted += uint64(tokens)
 	if a.counted {
-		a.recent = a.recent.withGranted(float64(tokens))
+		a.recent, a.left = a.recent.withGranted(float64(tokens)), a.left-float64(tokens)
 	}
 	return a, tokens
 }
 
 // delay returns the time until the account has a token.
 func (a account) delay(b ramp.QuotaBounds) time.Duration {
-	missing := 1 - a.tokens
-	switch {
-	case missing <= 0:
-		return 0
-	case a.counted:
-		return a.recent.delay(missing, b.Window, a.refilled)
+	var delay time.Duration
+	if missing := 1 - a.tokens; missing > 0 {
+		delay = time.Duration(math.Ceil(missing / a.accrual(b) * float64(time.Second)))
+	}
+	if missing := 1 - a.left; a.counted && missing > 0 {
+		delay = max(delay, a.recent.delay(missing, b.Window, a.refilled))
 	}
-	return time.Duration(math.Ceil(missing / a.accrual(b) * float64(time.Second)))
+	return delay
 }
 
 // WithExceeding returns the account after it was checked whether the tenant exceeds its
@@ -231,7 +237,7 @@
 // view returns the account as operators see it.
 func (a account) view(tenant string) ramp.AllowanceView {
 	return ramp.AllowanceView{
-		Tenant: tenant, Tokens: a.tokens, Rate: a.rate, Burst: a.burst, Version: a.version,
+		Tenant: tenant, Tokens: a.available(), Rate: a.rate, Burst: a.burst, Version: a.version,
 		Established: a.established, Exceeding: a.exceeding, Granted: a.granted, Refused: a.refused,
 	}
 }
--- a/plan/allowance_wait_test.go
+++ b/plan/allowance_wait_test.go
@@ -86,8 +86,8 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		for range 10 { // 1 a second
-			is.NoErr(l.Take(t.Context(), request))
 			time.Sleep(time.Second)
+			is.NoErr(l.Take(t.Context(), request))
 		}
 		golden.Check(t, "allowancelog", log()+fmt.Sprintf("%+v\n", l.Views()))
 	})
