--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	ramp "sycamoreramp.example/sycamoreramp"
@@ -80,13 +81,20 @@
 	return message, nil
 }
 
+// maxAgeMillis is the greatest age that can be decoded, in milliseconds.
+const maxAgeMillis = int64(math.MaxInt64 / time.Millisecond)
+
 // encodeAge returns an age in milliseconds, rounded up, since the receiver relies on what it
 // confirms. A negative age stands for none, and stays negative.
 func encodeAge(age time.Duration) int64 {
 	if age < 0 {
 		return -1
 	}
-	return int64((age + time.Millisecond - 1) / time.Millisecond)
+	millis := age.Milliseconds()
+	if age%time.Millisecond > 0 && millis < maxAgeMillis {
+		millis++
+	}
+	return millis
 }
 
 // encodeListsChange returns the wire form of the change. Added and replaced entries
