plan: keep four stand-ins of an account within the bound

The log shows four daemons with partial accounts beside the owner while machines restart; each had a quarter of the tolerance, which was divided for two. Change: a partial account has a sixth of the tolerance in a window, the local allowances together too.

--- a/plan/allowance.go
+++ b/plan/allowance.go
@@ -8,12 +8,14 @@
 )
 
 // Parts of the tolerance of an allowance: the requests of a tenant in a window that the
-// bound permits beyond its rate and burst. Two stand-ins and the local allowances of all
-// daemons use the whole tolerance at most.
+// bound permits beyond its rate and burst. While members restart, up to four daemons may act
+// for a tenant in one window besides the one with its account. Their accounts and the local
+// allowances of all daemons use the whole tolerance at most, but for the one token with which
+// each of them starts.
 const (
-	partialRateShare  = 1.0 / 4  // of the tolerance: what an account accrues in a window that is not established
+	partialRateShare  = 1.0 / 6  // of the tolerance: what an account accrues in a window that is not established
 	partialBurstShare = 1.0 / 12 // of the tolerance: most tokens of such an account
-	localShare        = 1.0 / 3  // of the tolerance: sum of the local allowances of all daemons in a window
+	localShare        = 1.0 / 6  // of the tolerance: sum of the local allowances of all daemons in a window
 	validityShare     = 1.0 / 4  // of the overshoot: time for which tokens of a batch are valid, in windows
 )
 
