fleet: count failed calls towards the majority for longer than answers

The log shows two established accounts: the owner was cut off with a third of the fleet, lost its registration after 6 s, and kept its account, since it estimated a majority from the calls of the last 4 s, which went almost only to members that answer. Change: a failed call counts for 10 s unless the member was seen since; gossip asks one silent member in each period, so each is asked again within that time.

--- a/fleet/ranking.go
+++ b/fleet/ranking.go
@@ -13,6 +13,12 @@
 // before the others no longer count it as a member.
 const majorityWindow = 4 * time.Second
 
+// failureWindow is the age above which a failed call no longer counts. It is longer than
+// [majorityWindow], since a daemon calls members that do not answer less often than others: a
+// daemon that was cut off with a third of the fleet called few but these, and estimated that it
+// had a majority. Gossip asks one silent member in each period.
+const failureWindow = 10 * time.Second
+
 // rankedMember is a member with its weight for a key.
 type rankedMember struct {
 	ramp.RankedDaemon
@@ -99,12 +105,12 @@
 		}
 		r := domains[other.daemon.Domain]
 		r.members++
-		if !other.calledAt.IsZero() && now.Sub(other.calledAt) < majorityWindow {
-			if other.answered {
-				r.answered++
-			} else {
-				r.failed++
-			}
+		switch age := now.Sub(other.calledAt); {
+		case other.calledAt.IsZero():
+		case other.answered && age < majorityWindow:
+			r.answered++
+		case !other.answered && age < failureWindow && !other.lastSeen.After(other.calledAt):
+			r.failed++
 		}
 		domains[other.daemon.Domain] = r
 		return true
--- a/fleet/ranking_test.go
+++ b/fleet/ranking_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -79,3 +81,30 @@
 	}
 	golden.Check(t, "majority", b.String())
 }
+
+// TestCutOffThirdHasNoMajority guards against a daemon that is cut off with a third of the
+// fleet, calls these again and again, and takes their answers for those of a majority: it
+// would keep an account that the others have moved.
+func TestCutOffThirdHasNoMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		daemons := groupDaemons("d", 29)
+		m := NewMembers(daemons[0], ramp.SystemClock{})
+		m.Update(daemons)
+		for period := range 30 { // 12 s
+			for _, d := range daemons[1:10] {
+				m.RecordCall(d.Incarnation, true)
+			}
+			m.RecordCall(daemons[10+period%19].Incarnation, false) // one silent member in each period
+			time.Sleep(observerGossipPeriod)
+			if since := time.Duration(period) * observerGossipPeriod; since > 2*majorityWindow && m.HasMajority() {
+				t.Fatalf("has a majority after %s", since)
+			}
+		}
+		for _, d := range daemons[10:] {
+			m.MarkSeen(d)
+		}
+		if !m.HasMajority() {
+			t.Error("has no majority after all members were seen again")
+		}
+	})
+}
