plan, fleet, daemon: keep no account at a daemon that the store does not list

The owner was cut off from the store, not from other daemons. Its registration expired and the next daemon took the account over, while the owner, which learned the store's view from others, counted itself first and in touch. Change: a daemon that its own view does not list has no established account.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -211,6 +211,7 @@
 	return plan.NewAllowanceLimiter(plan.AllowanceConfig{
 		Clock: e.clock, Log: e.log, Self: e.self, Bounds: e.deployment.Quota, Ranker: e.members, Source: e.peers,
 		Routes: e.routes, FleetSize: e.observer.FleetSize, Pauses: e.pauses.Pauses, Observe: e.metrics.ObserveAllowance,
+		Registered: e.observer.Registered,
 		InTouch: func() bool {
 			age, known := e.observer.ConfirmedAge()
 			return known && age <= e.deployment.ApplyBound
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -199,12 +199,17 @@
 	return time.Duration(selfWatchShare * float64(o.confirmBound()))
 }
 
+// Registered reports whether the store lists this daemon, by the daemon's view of the store.
+func (o *Observer) Registered() bool {
+	_, registered := o.registered.Get(o.Self.Incarnation)
+	return registered
+}
+
 // InTouch reports whether other daemons count this one as a member, as far as it knows: its
 // view was confirmed within the lifetime of its registration and contains the registration.
 func (o *Observer) InTouch() bool {
 	age, known := o.ConfirmedAge()
-	_, registered := o.registered.Get(o.Self.Incarnation)
-	return known && age < leaseTTL && registered
+	return known && age < leaseTTL && o.Registered()
 }
 
 // shouldWatch reports whether this daemon watches the store itself. All daemons
--- a/plan/allowance_limiter.go
+++ b/plan/allowance_limiter.go
@@ -50,10 +50,14 @@
 	Ranker    ramp.DaemonRanker
 	Source    ramp.TokenSource
 	Routes    ramp.RoutingSource
-	FleetSize func() int                                    // returns the number of daemons that may be there
-	InTouch   func() bool                                   // reports whether the store confirmed the members lately
-	Pauses    func() uint64                                 // returns how often the process was paused so far
-	Observe   func(tenant string, outcome AllowanceOutcome) // called for each request
+	FleetSize func() int  // returns the number of daemons that may be there
+	InTouch   func() bool // reports whether the store confirmed the members lately
+	// Registered reports whether the store lists this daemon, by its own view. Otherwise others
+	// no longer count it among the members that may keep accounts. It is nil if it is always
+	// listed.
+	Registered func() bool
+	Pauses     func() uint64                                 // returns how often the process was paused so far
+	Observe    func(tenant string, outcome AllowanceOutcome) // called for each request
 }
 
 // AllowanceLimiter enforces allowances over all daemons. The account of a tenant is kept by
@@ -378,6 +382,9 @@
 // standing returns this daemon's position in the order for a tenant.
 func (l *AllowanceLimiter) standing(ranked []ramp.RankedDaemon) standing {
 	now, pauses, majority := l.Clock.Now(), l.Pauses(), l.InTouch() || l.Ranker.HasMajority()
+	if l.Registered != nil && !l.Registered() {
+		majority = false // the daemon that ranks first without this one has an account of its own
+	}
 	c := l.contact.Update("", func(old contactState) contactState {
 		switch {
 		case old.since.IsZero():
--- a/plan/allowance_wait_test.go
+++ b/plan/allowance_wait_test.go
@@ -92,3 +92,30 @@
 		golden.Check(t, "allowancelog", log()+fmt.Sprintf("%+v\n", l.Views()))
 	})
 }
+
+// TestUnregisteredOwnerKeepsNoAccount guards against a daemon that the store no longer lists,
+// while other daemons still answer it, and that goes on granting the whole allowance beside
+// the daemon that has taken over the account.
+func TestUnregisteredOwnerKeepsNoAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l, _ := newLimiter()
+		registered := true
+		l.Registered = func() bool { return registered }
+		request := ramp.AllowanceRequest{Tenant: tenantNamed("busy", 10, 10), Version: 1}
+		granted := func() int {
+			n := 0
+			for range 100 { // 20 a second for a window
+				if l.Take(t.Context(), request) == nil {
+					n++
+				}
+				time.Sleep(quotaBounds.Window / 100)
+			}
+			return n
+		}
+		time.Sleep(2 * quotaBounds.Window)
+		is.True(granted() > 50) // the whole allowance
+		registered = false
+		is.True(float64(granted()) <= tolerance(quotaBounds, 10, 10)/4)
+	})
+}
