query: let the replica refuse a request first in the test of ordered attempts

Cause: attempts are ordered only at replicas that refused one lately, and the test's replica had not. Change: the test sends one request that is refused as full. What it records is unchanged.

--- a/query/ordered_test.go
+++ b/query/ordered_test.go
@@ -22,12 +22,16 @@
 	script
 	began time.Time
 
+	full   bool // requests are refused
 	mutex  sync.Mutex
 	starts map[string][]time.Duration // by tenant
 }
 
 // Exchange implements [ramp.Exchanger].
 func (s *startRecorder) Exchange(ctx context.Context, c ramp.Call) (ramp.Response, error) {
+	if s.full {
+		return ramp.Response{}, &ramp.AttemptError{Outcome: ramp.Shed, Sent: true, NotRun: true}
+	}
 	s.mutex.Lock()
 	s.starts[c.Message.Tenant] = append(s.starts[c.Message.Tenant], time.Since(s.began).Round(ms))
 	s.mutex.Unlock()
@@ -63,7 +67,8 @@
 
 // TestUrgentFirstAtReplica records when requests of three ranks are sent to a replica that
 // runs four at once. It guards against urgent requests that wait behind less urgent ones
-// at the replica, and against a change for configurations without tenants.
+// at the replica, and against a change for configurations without tenants. The replica
+// refused a request shortly before, since it was full.
 func TestUrgentFirstAtReplica(t *testing.T) {
 	var b strings.Builder
 	for _, tenanted := range []bool{true, false} {
@@ -72,6 +77,11 @@
 				script: script{"a-x": {delay: 30 * ms, status: 200}}, began: time.Now(), starts: map[string][]time.Duration{},
 			}
 			relay := newOrderedRelay(t, s, tenanted)
+			s.full = true
+			_, _ = relay.Handle(t.Context(), ramp.Message{ID: "m", Target: "/x", HasKey: true}, 0)
+			s.full = false
+			time.Sleep(time.Second)
+			s.began = time.Now()
 			var callers sync.WaitGroup
 			for _, load := range []struct{ rank, count int }{{2, 6}, {1, 1}, {0, 2}} {
 				for range load.count {
