--- a/plan/allowance.go
+++ b/plan/allowance.go
@@ -53,10 +53,9 @@
 // An established account grants what the allowance permits in any window: the rate times
 // the window and the burst. It does so evenly, by a token bucket that fills with the burst in
 // each window besides the rate, so that a tenant that sends too much is not refused for most
-// of a window after its first requests. Only one daemon may have one, but
-// for the time in which a departure becomes known: the daemon that has ranked first among
-// all registered members for a window, while it is in contact with the store or a
-// majority. Any other
+// of a window after its first requests. Only one daemon may have an established account,
+// except while a departure becomes known: the one that has ranked first among all registered
+// members for a window, while it is in contact with the store or a majority. Any other
 // account grants a part of the tolerance, so that two daemons that act for one tenant at
 // once stay within the bound.
 type account struct {
--- a/plan/allowance_limiter.go
+++ b/plan/allowance_limiter.go
@@ -405,7 +405,7 @@
 }
 
 // grant returns what this daemon's own account grants. A relayed request gets no tokens of
-// a stand-in, since the daemon that asks is one as well.
+// a partial account, since the daemon that asks has one as well.
 func (l *AllowanceLimiter) grant(r ramp.TokenRequest, s standing) ramp.TokenGrant {
 	now := l.Clock.Now()
 	var tokens int
