fleet, daemon: log and count what a daemon learns from the store by itself

The log could not tell why a configuration came late: a daemon that reads the store too late, exchanges that fail, and a view that lacks changes look alike. A daemon that is no watcher now logs each read of the store with the age of its last confirmation, the time that the read took, the revisions and the number of entries; counters tell reads, entries and exchanges by outcome. No decision changes.

--- a/daemon/edge.go
+++ b/daemon/edge.go
@@ -134,7 +134,7 @@
 		Translator: platform.Translator{Now: clock.Now}, Peers: e.peers, Pool: e.gossipPool, Mirror: fleet.NewMirror(clock),
 		Routes: e.routes, Members: e.members, Replicas: e.instances, Leaving: e.leaving, ApplyBound: d.ApplyBound,
 		Seeds: func() []ramp.Daemon { return *e.seeds.Load() },
-		Boot:  systemBootClock{},
+		Boot:  systemBootClock{}, ObserveRead: e.metrics.ObserveStoreRead, ObserveGossip: e.metrics.ObserveGossip,
 	}
 	if d.RevocationBound > 0 {
 		e.observer.Authorization = fleet.NewAuthorization(d.RevocationBound, systemBootClock{})
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -11,6 +11,7 @@
 	reporting "github.com/uber-go/tally/v4/prometheus"
 
 	ramp "sycamoreramp.example/sycamoreramp"
+	"sycamoreramp.example/sycamoreramp/fleet"
 	"sycamoreramp.example/sycamoreramp/plan"
 )
 
@@ -232,6 +233,30 @@
 	return "passed"
 }
 
+// ObserveStoreRead counts a read of the store.
+func (m *metrics) ObserveStoreRead(r fleet.StoreRead) {
+	reader, outcome := "watcher", "answered"
+	if r.Overdue {
+		reader = "overdue"
+	}
+	if r.Err != nil {
+		outcome = "failed"
+	}
+	m.scope.Tagged(map[string]string{"reader": reader, tagOutcome: outcome}).Counter("store_reads").Inc(1)
+	if r.Err == nil {
+		m.scope.Tagged(map[string]string{"reader": reader}).Counter("store_entries").Inc(int64(r.Entries))
+	}
+}
+
+// ObserveGossip counts an exchange that this daemon began with another one.
+func (m *metrics) ObserveGossip(answered bool) {
+	outcome := "failed"
+	if answered {
+		outcome = "answered"
+	}
+	m.scope.Tagged(map[string]string{tagOutcome: outcome}).Counter("gossip").Inc(1)
+}
+
 // edgeGauges holds the values of an edge daemon's gauges.
 type edgeGauges struct {
 	plan.State                   // of the admission of tenants' requests
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -73,6 +73,9 @@
 	Boot          ramp.BootClock // times confirmations; nil for Clock
 	Authorization *Authorization // is told of versions and confirmations; nil if keys need none
 
+	ObserveRead   func(StoreRead)     // is told of each read of the store; nil for none
+	ObserveGossip func(answered bool) // is told of each exchange that this daemon began; nil for none
+
 	confirmedAt   atomic.Pointer[time.Duration]    // uptime of the last store confirmation; nil for none
 	outageEndedAt atomic.Pointer[time.Duration]    // like confirmedAt, of the end of the last outage of the store
 	gossipTurn    atomic.Uint64                    // gossip periods so far; selects the next target
@@ -85,6 +88,17 @@
 	reachable     *ramp.Table[string, bool]        // by dependency, whether its last call was answered
 }
 
+// StoreRead is a read of the store that has ended. It is an immutable value.
+type StoreRead struct {
+	Overdue bool          // the daemon is no watcher, and read because its last confirmation was too old
+	Age     time.Duration // age of the last confirmation when the read began; 0 if there was none
+	Elapsed time.Duration
+	From    uint64 // revision after which changes were asked for; 0 for all entries
+	To      uint64 // revision of the reply; 0 if the read failed
+	Entries int    // entries in the reply
+	Err     error
+}
+
 // seenDaemon is a daemon as stated in its own last gossip message. It is an
 // immutable value.
 type seenDaemon struct {
@@ -187,6 +201,13 @@
 	return min(o.ApplyBound, o.Authorization.ConfirmWithin())
 }
 
+// isWatcher reports whether the daemon watches the store all the time: all daemons of a
+// small fleet do, and the watchers of each failure domain in a larger one.
+func (o *Observer) isWatcher() bool {
+	members := o.Members.All()
+	return len(members) <= smallFleet || IsWatcher(o.Self, members)
+}
+
 // isOverdue reports whether the last confirmation from the store is so old that any daemon
 // watches the store itself.
 func (o *Observer) isOverdue() bool {
@@ -212,16 +233,9 @@
 	return known && age < leaseTTL && o.Registered()
 }
 
-// shouldWatch reports whether this daemon watches the store itself. All daemons
-// of a small fleet do; in a larger fleet the watchers of each failure domain
-// do, and any daemon whose last confirmation from the store is too old.
-func (o *Observer) shouldWatch() bool {
-	members := o.Members.All()
-	if len(members) <= smallFleet || IsWatcher(o.Self, members) {
-		return true
-	}
-	return o.isOverdue()
-}
+// shouldWatch reports whether this daemon watches the store itself: a watcher, and any
+// daemon whose last confirmation from the store is too old.
+func (o *Observer) shouldWatch() bool { return o.isWatcher() || o.isOverdue() }
 
 // watchWait returns the wait of a watch. Where keys need a confirmation, the watch ends
 // before the last one is overdue, and a daemon of a small fleet waits for longer, since no
@@ -267,6 +281,7 @@
 		}
 		after = max(after, o.Mirror.Revision())
 		seen, started, wait := after, o.Boot.Uptime(), o.watchWait()
+		age, _ := o.ConfirmedAge()
 		entries, until, err := o.Store.Watch(ctx, "", after, wait)
 		if isCompacted(err) {
 			o.Log.Info("store history compacted, reading all entries", "after", after)
@@ -276,7 +291,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		o.logReachability("store", err)
+		o.observeRead(StoreRead{
+			Overdue: !o.isWatcher(), Age: age, Elapsed: o.Boot.Uptime() - started, From: after, To: until,
+			Entries: len(entries), Err: err,
+		})
 		pause := min(observerMaxPause, observerPause<<min(failures, maxBackoffShift))
 		failures++
 		if err == nil {
@@ -302,6 +320,19 @@
 	}
 }
 
+// observeRead reports a read of the store. It logs the reads of daemons that are no watchers,
+// which are rare while watchers pass on what the store says.
+func (o *Observer) observeRead(r StoreRead) {
+	o.logReachability("store", r.Err)
+	if r.Overdue {
+		o.Log.Info("store read", "age", r.Age, "elapsed", r.Elapsed, "from", r.From, "to", r.To,
+			"entries", r.Entries, "error", r.Err)
+	}
+	if o.ObserveRead != nil {
+		o.ObserveRead(r)
+	}
+}
+
 // confirmedAt returns the uptime for which a watch confirms the view. The store ends a
 // watch without changes after the wait, counted from the arrival of the call. Any
 // other reply may have been on its way since the call.
--- a/fleet/observer_gossip.go
+++ b/fleet/observer_gossip.go
@@ -108,6 +108,9 @@
 		o.logReachability("daemon "+to.PeerAddress, err)
 	}
 	o.Members.RecordCall(to.Incarnation, err == nil)
+	if o.ObserveGossip != nil {
+		o.ObserveGossip(err == nil)
+	}
 	if err != nil {
 		o.Members.MarkSilent(to.Incarnation)
 		return
