--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -47,6 +48,10 @@
 	// It must be set before the first call.
 	RewriteValue func(key string, value []byte) []byte
 
+	// MaxEvents is the greatest number of entries in the reply of a watch after a revision,
+	// 0 for no limit. It must be set before the first call.
+	MaxEvents int
+
 	clock    ramp.Clock
 	mutex    sync.Mutex
 	keys     map[string][]version // oldest version first
@@ -172,6 +177,7 @@
 		case fault.Down:
 			return nil, 0, &ramp.StoreError{Call: "watch", Cause: errDown}
 		case len(entries) > 0 || !s.clock.Now().Before(end):
+			entries, at = s.page(entries, revision, at)
 			return entries, at, nil
 		}
 		if err := s.waitForChange(ctx, changed, next); err != nil {
@@ -405,6 +411,17 @@
 	return entries
 }
 
+// page returns the entries that fit into the reply of a watch after a revision, those that
+// changed first, and the revision up to which the reply is complete.
+func (s *Store) page(entries []ramp.Entry, after, until uint64) ([]ramp.Entry, uint64) {
+	if after == 0 || s.MaxEvents == 0 || len(entries) <= s.MaxEvents {
+		return entries, until
+	}
+	slices.SortFunc(entries, func(a, b ramp.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	entries = entries[:s.MaxEvents]
+	return entries, entries[len(entries)-1].Revision
+}
+
 // put appends a version of a key, notifies watches and returns its revision.
 func (s *Store) put(v version) uint64 {
 	s.revision++
