fleet, platform: confirm nothing by a reply that may lack changes

Cause: the store splits the reply to a watch, at 500 changes or about 1 MB, and does not say so. The daemon took any reply as the word that its view was complete when it asked. A daemon that was more than a page behind applied the first page, counted as confirmed, stopped reading, and stated the confirmation to others. The configuration in a later page came a whole period later.

In TestManyChangesDelayNoConfiguration, which failed before, daemons lacked the configuration for more than twice the bound, and stated confirmations that were later than it (confirmed without it=true).

The observer applies it, reads on at once and confirms only what a complete reply says. So nothing that rests on confirmations is misled: configurations, the departure of replicas, the revocation of keys.

--- a/fleet/apply_bound_test.go
+++ b/fleet/apply_bound_test.go
@@ -13,11 +13,17 @@
 	"sycamoreramp.example/sycamoreramp/internal/standin"
 )
 
-// latestApplication writes a number of entries and then a configuration, and returns how long
-// after its acknowledgement the last of the given daemons applied it, at most twice the bound.
-func latestApplication(
+// application is how daemons applied a configuration.
+type application struct {
+	after     time.Duration // from the acknowledgement to the application by the last daemon
+	misjudged bool          // a daemon without it stated a confirmation that is later than it
+}
+
+// apply writes a number of entries and then a configuration, and waits until the given daemons
+// have applied it, for twice the bound at most.
+func apply(
 	ctx context.Context, store *standin.Store, daemons []*testObserver, entries int, bound time.Duration,
-) time.Duration {
+) application {
 	for n := range entries {
 		_, _ = store.Swap(ctx, fmt.Sprintf("replica/%d", n), []byte("v"), 0, "")
 	}
@@ -25,19 +31,22 @@
 	version, _ := store.Swap(ctx, "config", nil, current.Revision, "")
 	value := fmt.Appendf(nil, "%d", version)
 	_, _ = store.Swap(ctx, "config", value, version, "")
-	acknowledged := time.Now()
+	acknowledged, misjudged := time.Now(), false
 	for time.Since(acknowledged) < 2*bound {
 		late := false
 		for _, o := range daemons {
-			routing, _ := o.Routes.Current()
-			late = late || routing.Version < version
+			age, confirmed := o.ConfirmedAge() // read first, since the daemon may apply the configuration meanwhile
+			if routing, _ := o.Routes.Current(); routing.Version < version {
+				late = true
+				misjudged = misjudged || confirmed && age < time.Since(acknowledged)
+			}
 		}
 		if !late {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return time.Since(acknowledged)
+	return application{after: time.Since(acknowledged), misjudged: misjudged}
 }
 
 // withoutWatchers returns the daemons that do not watch the store, after the store began to
@@ -76,10 +85,10 @@
 			all, _ := startObservers(ctx, store, test.daemons, test.bound)
 			time.Sleep(2 * test.bound)
 			rest := withoutWatchers(store, all)
-			took := latestApplication(ctx, store, rest, test.changes, test.bound)
-			t.Logf("%d daemons, bound %s, %d changes before it: applied after %s", test.daemons, test.bound, test.changes, took)
-			fmt.Fprintf(&b, "%d daemons, bound %s, %d changes before it: in time=%t\n",
-				test.daemons, test.bound, test.changes, took <= test.bound)
+			got := apply(ctx, store, rest, test.changes, test.bound)
+			t.Logf("%d daemons, bound %s, %d changes before it: %+v", test.daemons, test.bound, test.changes, got)
+			fmt.Fprintf(&b, "%d daemons, bound %s, %d changes before it: in time=%t, confirmed without it=%t\n",
+				test.daemons, test.bound, test.changes, got.after <= test.bound, got.misjudged)
 			cancel()
 			synctest.Wait()
 			time.Sleep(time.Minute)
--- a/fleet/mirror_test.go
+++ b/fleet/mirror_test.go
@@ -100,10 +100,8 @@
 				history[at] = fmt.Sprint(all)
 				m := rapid.SampledFrom(mirrors).Draw(rt, "mirror")
 				if rapid.Bool().Draw(rt, "from the store") {
-					after := m.Revision()
-					entries, until, err := store.Watch(t.Context(), "", after, 0)
-					if err == nil {
-						m.Apply(ramp.EntryChange{FromRevision: after, ToRevision: until, Entries: entries})
+					if c, err := store.Watch(t.Context(), "", m.Revision(), 0); err == nil {
+						m.Apply(c)
 					}
 				} else {
 					m.Apply(rapid.SampledFrom(mirrors).Draw(rt, "other").ChangesSince(m.Revision()))
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -96,6 +96,7 @@
 	From    uint64 // revision after which changes were asked for; 0 for all entries
 	To      uint64 // revision of the reply; 0 if the read failed
 	Entries int    // entries in the reply
+	Partial bool   // the reply may not reach the present
 	Err     error
 }
 
@@ -269,50 +270,40 @@
 	return min(observerPause, max(0, o.selfWatchAge()-age)+time.Millisecond)
 }
 
+// storeCursor is the position of the daemon's own reads of the store. It is an immutable
+// value.
+type storeCursor struct {
+	revision uint64 // up to which changes were read
+	partial  bool   // the last reply may not have reached the present
+	failures int    // calls that failed since the last reply
+}
+
+// WithFailure returns the cursor after a call that failed.
+func (c storeCursor) WithFailure() storeCursor {
+	c.failures++
+	return c
+}
+
+// WithReply returns the cursor after a reply.
+func (c storeCursor) WithReply(change ramp.EntryChange) storeCursor {
+	return storeCursor{revision: max(c.revision, change.ToRevision), partial: change.Partial}
+}
+
 // watchStore applies the changes of the store until ctx ends, whenever this
 // daemon should watch it.
 func (o *Observer) watchStore(ctx context.Context) {
-	after, failures := uint64(0), 0
+	var cursor storeCursor
 	tried := sync.OnceFunc(func() { close(o.storeTried) })
 	for ctx.Err() == nil {
 		if !o.shouldWatch() {
 			_ = ramp.Sleep(ctx, o.Clock, o.idlePause())
 			continue
 		}
-		after = max(after, o.Mirror.Revision())
-		seen, started, wait := after, o.Boot.Uptime(), o.watchWait()
-		age, _ := o.ConfirmedAge()
-		entries, until, err := o.Store.Watch(ctx, "", after, wait)
-		if isCompacted(err) {
-			o.Log.Info("store history compacted, reading all entries", "after", after)
-			after = 0
-			entries, until, err = o.Store.Watch(ctx, "", after, 0)
-		}
+		var pause time.Duration
+		cursor, pause = o.readStore(ctx, cursor)
 		if ctx.Err() != nil {
 			return
 		}
-		o.observeRead(StoreRead{
-			Overdue: !o.isWatcher(), Age: age, Elapsed: o.Boot.Uptime() - started, From: after, To: until,
-			Entries: len(entries), Err: err,
-		})
-		pause := min(observerMaxPause, observerPause<<min(failures, maxBackoffShift))
-		failures++
-		if err == nil {
-			if failures > 1 {
-				o.recordOutage()
-			}
-			failures = 0
-			ended := o.Boot.Uptime()
-			o.applyChange(ramp.EntryChange{FromRevision: after, ToRevision: until, Entries: entries}, "store")
-			after, pause = max(after, until), observerPause
-			if until >= seen { // or else the read was stale and confirms nothing
-				o.confirm(confirmedAt(started, ended, wait, len(entries))) // only now does the view contain the changes
-				pause = 0
-			}
-			if len(entries) > 0 {
-				pause = o.ApplyBound / batchDivisor
-			}
-		}
 		tried()
 		if pause > 0 {
 			_ = ramp.Sleep(ctx, o.Clock, pause)
@@ -320,13 +311,58 @@
 	}
 }
 
+// readStore watches the store once, and returns the new cursor and the pause before the next
+// call. After a partial reply it reads on at once, and confirms nothing: changes that the
+// reply lacks may be older than the call.
+func (o *Observer) readStore(ctx context.Context, last storeCursor) (next storeCursor, pause time.Duration) {
+	last.revision = max(last.revision, o.Mirror.Revision())
+	after, started, wait := last.revision, o.Boot.Uptime(), o.watchWait()
+	if last.partial {
+		wait = 0
+	}
+	age, _ := o.ConfirmedAge()
+	change, err := o.Store.Watch(ctx, "", after, wait)
+	if isCompacted(err) {
+		o.Log.Info("store history compacted, reading all entries", "after", after)
+		after = 0
+		change, err = o.Store.Watch(ctx, "", after, 0)
+	}
+	if ctx.Err() != nil {
+		return last, 0
+	}
+	ended := o.Boot.Uptime()
+	o.observeRead(StoreRead{
+		Overdue: !o.isWatcher(), Age: age, Elapsed: ended - started, From: after, To: change.ToRevision,
+		Entries: len(change.Entries), Partial: change.Partial, Err: err,
+	})
+	if err != nil {
+		return last.WithFailure(), min(observerMaxPause, observerPause<<min(last.failures, maxBackoffShift))
+	}
+	if last.failures > 0 {
+		o.recordOutage()
+	}
+	next = last.WithReply(change)
+	o.applyChange(change, "store")
+	switch {
+	case change.ToRevision < last.revision: // a stale read
+		return next, observerPause
+	case change.Partial:
+		return next, 0
+	}
+	o.confirm(confirmedAt(started, ended, wait, len(change.Entries))) // only now does the view contain the changes
+	if len(change.Entries) > 0 {
+		return next, o.ApplyBound / batchDivisor
+	}
+	return next, 0
+}
+
 // observeRead reports a read of the store. It logs the reads of daemons that are no watchers,
 // which are rare while watchers pass on what the store says.
 func (o *Observer) observeRead(r StoreRead) {
 	o.logReachability("store", r.Err)
 	if r.Overdue {
 		o.Log.Info("store read", "age", r.Age, "elapsed", r.Elapsed, "from", r.From, "to", r.To,
-			"entries", r.Entries, "error", r.Err)
+			"entries", r.Entries, "partial", r.Partial, "error", r.Err)
 	}
 	if o.ObserveRead != nil {
 		o.ObserveRead(r)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -153,9 +153,9 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	millis, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
 	wait := time.Duration(millis) * time.Millisecond
-	entries, revision, err := p.Watch(r.Context(), r.URL.Query().Get("pathPrefix"), after, wait)
-	events := eventsWire{Events: []itemWire{}, AsOf: revision}
-	for _, e := range entries {
+	change, err := p.Watch(r.Context(), r.URL.Query().Get("pathPrefix"), after, wait)
+	events := eventsWire{Events: []itemWire{}, AsOf: change.ToRevision}
+	for _, e := range change.Entries {
 		events.Events = append(events.Events, encodeItem(e))
 	}
 	writeResult(w, events, err)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -160,11 +160,11 @@
 // Watch implements [ramp.Store].
 func (c *Client) Watch(
 	ctx context.Context, prefix string, revision uint64, wait time.Duration,
-) ([]ramp.Entry, uint64, error) {
+) (ramp.EntryChange, error) {
 	s := c.store
 	end := s.clock.Now().Add(wait)
 	if err := c.startCall(ctx, "watch", &s.calls.Reads); err != nil {
-		return nil, 0, err
+		return ramp.EntryChange{}, err
 	}
 	for {
 		s.mutex.Lock()
@@ -175,13 +175,12 @@
 		s.mutex.Unlock()
 		switch {
 		case fault.Down:
-			return nil, 0, &ramp.StoreError{Call: "watch", Cause: errDown}
+			return ramp.EntryChange{}, &ramp.StoreError{Call: "watch", Cause: errDown}
 		case len(entries) > 0 || !s.clock.Now().Before(end):
-			entries, at = s.page(entries, revision, at)
-			return entries, at, nil
+			return s.page(ramp.EntryChange{FromRevision: revision, ToRevision: at, Entries: entries}), nil
 		}
 		if err := s.waitForChange(ctx, changed, next); err != nil {
-			return nil, 0, &ramp.StoreError{Call: "watch", Cause: err}
+			return ramp.EntryChange{}, &ramp.StoreError{Call: "watch", Cause: err}
 		}
 	}
 }
@@ -411,15 +410,16 @@
 	return entries
 }
 
-// page returns the entries that fit into the reply of a watch after a revision, those that
-// changed first, and the revision up to which the reply is complete.
-func (s *Store) page(entries []ramp.Entry, after, until uint64) ([]ramp.Entry, uint64) {
-	if after == 0 || s.MaxEvents == 0 || len(entries) <= s.MaxEvents {
-		return entries, until
+// page returns the part of a change that fits into the reply of a watch: the entries that
+// changed first.
+func (s *Store) page(c ramp.EntryChange) ramp.EntryChange {
+	if c.FromRevision == 0 || s.MaxEvents == 0 || len(c.Entries) <= s.MaxEvents {
+		return c
 	}
-	slices.SortFunc(entries, func(a, b ramp.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
-	entries = entries[:s.MaxEvents]
-	return entries, entries[len(entries)-1].Revision
+	slices.SortFunc(c.Entries, func(a, b ramp.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
+	c.Entries = c.Entries[:s.MaxEvents]
+	c.ToRevision, c.Partial = c.Entries[len(c.Entries)-1].Revision, true
+	return c
 }
 
 // put appends a version of a key, notifies watches and returns its revision.
--- a/internal/standin/store_test.go
+++ b/internal/standin/store_test.go
@@ -52,13 +52,13 @@
 	fmt.Fprintf(&b, "  swap: revision=%d err=%v after=%s\n", second, err, time.Since(started))
 	entry, err := s.Get(ctx, "k")
 	fmt.Fprintf(&b, "  get: %s@%d err=%v\n", entry.Value, entry.Revision, err)
-	entries, revision, err := s.Watch(ctx, "k", 1, time.Second)
-	fmt.Fprintf(&b, "  watch: %d entries @%d err=%v\n", len(entries), revision, err)
+	change, err := s.Watch(ctx, "k", 1, time.Second)
+	fmt.Fprintf(&b, "  watch: %d entries @%d err=%v\n", len(change.Entries), change.ToRevision, err)
 	_, err = s.Swap(ctx, "k", []byte("three"), first, "")
 	fmt.Fprintf(&b, "  swap again: err=%v\n", err)
 	s.SetFault(client, standin.Fault{})
-	entries, revision, err = s.Watch(ctx, "k", 3, time.Minute)
+	change, err = s.Watch(ctx, "k", 3, time.Minute)
 	fmt.Fprintf(&b, "  watch until the lease ends: %d entries @%d err=%v after=%s\n",
-		len(entries), revision, err, time.Since(started))
+		len(change.Entries), change.ToRevision, err, time.Since(started))
 	return b.String()
 }
--- a/platform.go
+++ b/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -26,11 +27,11 @@
 	// [*ConflictError]. If lease is not "", the entry is removed when it ends.
 	Swap(ctx context.Context, key string, value []byte, revision uint64, lease string) (uint64, error)
 	// Watch waits until an entry under prefix changes after revision, or for the
-	// given time. It returns the entries changed since, including removals, and
-	// the revision up to which the result is complete, which is below the given one
-	// after a stale read. Revision 0 returns all entries. It returns a
-	// [*NotFoundError] when the store has discarded the changes since revision.
-	Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) ([]Entry, uint64, error)
+	// given time. It returns the changes since, including removals. The resulting
+	// revision is below the given one after a stale read. Revision 0 returns all
+	// entries. It returns a [*NotFoundError] when the store has discarded the changes
+	// since revision.
+	Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (EntryChange, error)
 	// Grant starts a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease string, err error)
 	// KeepAlive renews a lease, or returns a [*NotFoundError] if it has ended.
@@ -44,6 +45,22 @@
 	FromRevision uint64  // revision that it applies to; 0 if Entries is the full state
 	ToRevision   uint64  // resulting revision
 	Entries      []Entry // last change of each key; never modified
+
+	// Partial is set by Watch if the store may have made further changes before it replied.
+	// Then the result is as of ToRevision, but nothing is known of what came after it.
+	Partial bool
+}
+
+// WithNext returns the change followed by one that applies to its result.
+func (c EntryChange) WithNext(next EntryChange) EntryChange {
+	replaced := make(map[string]bool, len(next.Entries))
+	for _, e := range next.Entries {
+		replaced[e.Key] = true
+	}
+	c.Entries = slices.DeleteFunc(slices.Clone(c.Entries), func(e Entry) bool { return replaced[e.Key] })
+	c.Entries = append(c.Entries, next.Entries...)
+	c.ToRevision, c.Partial = next.ToRevision, next.Partial
+	return c
 }
 
 // Record is the decoded form of an entry of the store. At most one field is set.
