fleet: keep replies to other daemons within what a link carries

Callers saw: late configurations at weak daemons of a large fleet, also at those that reach the store themselves.

Cause: daemons that start together count their periods alike, so all of them ask the same member in the same period, and all ask the same one that did not answer lately. Each reply holds all that the asker lacks. A weak daemon that has a change before the others fills its link with replies that are all given up after 0.5 s and asked for again, and its own reads of the store time out. In fleets whose size leaves 1 when divided by 4, members were never asked at all by daemons that do not watch.

Fix: daemons count their periods from different numbers, and take members in turn whatever the size of the fleet. Members that did not answer are asked whether they do, not for changes. A confirmation counts only for the view that it was stated with.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -249,12 +249,8 @@
 }
 
 // ObserveGossip counts an exchange that this daemon began with another one.
-func (m *metrics) ObserveGossip(answered bool) {
-	outcome := "failed"
-	if answered {
-		outcome = "answered"
-	}
-	m.scope.Tagged(map[string]string{tagOutcome: outcome}).Counter("gossip").Inc(1)
+func (m *metrics) ObserveGossip(outcome fleet.GossipOutcome) {
+	m.scope.Tagged(map[string]string{tagOutcome: string(outcome)}).Counter("gossip").Inc(1)
 }
 
 // edgeGauges holds the values of an edge daemon's gauges.
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -74,11 +74,12 @@
 	Authorization *Authorization // is told of versions and confirmations; nil if keys need none
 
 	ObserveRead   func(StoreRead)     // is told of each read of the store; nil for none
-	ObserveGossip func(answered bool) // is told of each exchange that this daemon began; nil for none
+	ObserveGossip func(GossipOutcome) // is told of each exchange that this daemon began; nil for none
 
 	confirmedAt   atomic.Pointer[time.Duration]    // uptime of the last store confirmation; nil for none
 	outageEndedAt atomic.Pointer[time.Duration]    // like confirmedAt, of the end of the last outage of the store
 	gossipTurn    atomic.Uint64                    // gossip periods so far; selects the next target
+	replies       *replyBudget                     // for the changes that other daemons lack
 	storeTried    chan struct{}                    // closed when the first call to the store has succeeded or failed
 	applyMutex    *ramp.Mutex                      // held while a change is applied
 	started       time.Time                        // when Init was called
@@ -111,6 +112,7 @@
 func (o *Observer) Init() {
 	o.applyMutex = ramp.NewMutex(ramp.RankStoreChanges)
 	o.storeTried = make(chan struct{})
+	o.replies = newReplyBudget(o.Self.Capacity.Link, o.Clock)
 	o.started = o.Clock.Now()
 	if o.Boot == nil {
 		o.Boot = clockUptime{clock: o.Clock, started: o.started}
@@ -119,6 +121,7 @@
 	o.registered = ramp.NewTable[string, ramp.Daemon](ramp.RankDaemons)
 	o.seen = ramp.NewTable[string, seenDaemon](ramp.RankDaemons)
 	o.reachable = ramp.NewTable[string, bool](ramp.RankDaemons)
+	o.gossipTurn.Store(ramp.HashKey(o.Self.Incarnation)) // daemons that start together ask different ones
 }
 
 // Run keeps the view up to date until ctx ends.
--- a/fleet/observer_gossip.go
+++ b/fleet/observer_gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,10 @@
 // at once.
 const leaveFanout = 64
 
+// randomPeriod is the number of periods in which a daemon that does not watch the store asks
+// a member once that need not be a watcher.
+const randomPeriod = 4
+
 // gossip exchanges messages with one other daemon in each period. When this
 // daemon starts to leave, it notifies up to [leaveFanout] daemons at once.
 func (o *Observer) gossip(ctx context.Context) {
@@ -35,7 +40,7 @@
 			o.publishMembers()
 			others := o.otherMembers()
 			for _, d := range others[:min(leaveFanout, len(others))] {
-				o.Pool.Submit(func() { o.gossipWith(ctx, d) })
+				o.Pool.Submit(func() { o.gossipWith(ctx, gossipTarget{Daemon: d}) })
 			}
 		case <-ctx.Done():
 		}
@@ -68,23 +73,39 @@
 	return others
 }
 
+// gossipTarget is a daemon to gossip with in this period.
+type gossipTarget struct {
+	ramp.Daemon
+	probe bool // only ask whether it answers, not for changes
+}
+
 // gossipTargets returns the daemons to gossip with in this period: one member
 // in round-robin order, or the seeds while no other member is known. A daemon
 // that does not watch the store picks a watcher of its failure domain in three
 // periods out of four. Besides, one of the members that did not answer lately is
-// asked again, since in a large fleet its turn comes after minutes only.
-func (o *Observer) gossipTargets() []ramp.Daemon {
+// asked again, since in a large fleet its turn comes after minutes only. All others ask
+// it too, so it is not asked for changes, which might fill its link.
+func (o *Observer) gossipTargets() []gossipTarget {
 	others := o.otherMembers()
 	if len(others) == 0 {
-		return o.Seeds()
+		seeds := o.Seeds()
+		targets := make([]gossipTarget, len(seeds))
+		for i, d := range seeds {
+			targets[i].Daemon = d
+		}
+		return targets
 	}
 	turn := int(o.gossipTurn.Add(1))
-	targets := []ramp.Daemon{others[turn%len(others)]}
-	if watchers := o.domainWatchers(others); len(watchers) > 0 && turn%4 != 0 && !o.shouldWatch() {
-		targets = []ramp.Daemon{watchers[turn%len(watchers)]}
+	target := others[turn%len(others)]
+	if watchers := o.domainWatchers(others); len(watchers) > 0 && !o.shouldWatch() {
+		target = watchers[turn%len(watchers)]
+		if turn%randomPeriod == 0 {
+			target = others[turn/randomPeriod%len(others)]
+		}
 	}
+	targets := []gossipTarget{{Daemon: target}}
 	if silent := o.Members.Unresponsive(); len(silent) > 0 {
-		targets = append(targets, silent[turn%len(silent)])
+		targets = append(targets, gossipTarget{Daemon: silent[turn%len(silent)], probe: true})
 	}
 	return targets
 }
@@ -99,17 +120,20 @@
 
 // gossipWith exchanges messages with another daemon and applies the changes
 // that the reply carries.
-func (o *Observer) gossipWith(ctx context.Context, to ramp.Daemon) {
+func (o *Observer) gossipWith(ctx context.Context, to gossipTarget) {
 	limited, cancel := context.WithTimeout(ctx, observerGossipTimeout)
 	defer cancel()
-	started := o.Boot.Uptime()
-	reply, err := o.Peers.Gossip(limited, to, o.summary())
+	started, message := o.Boot.Uptime(), o.summary()
+	if to.probe {
+		message.MembersRevision = math.MaxUint64
+	}
+	reply, err := o.Peers.Gossip(limited, to.Daemon, message)
 	if ctx.Err() == nil || err == nil {
 		o.logReachability("daemon "+to.PeerAddress, err)
 	}
 	o.Members.RecordCall(to.Incarnation, err == nil)
 	if o.ObserveGossip != nil {
-		o.ObserveGossip(err == nil)
+		o.ObserveGossip(gossipOutcome(message, reply, err))
 	}
 	if err != nil {
 		o.Members.MarkSilent(to.Incarnation)
@@ -124,23 +148,51 @@
 	}
 }
 
+// GossipOutcome is what became of an exchange.
+type GossipOutcome string
+
+// The outcomes of an exchange.
+const (
+	GossipAnswered GossipOutcome = "answered"
+	GossipWithheld GossipOutcome = "withheld" // the reply lacked the changes that the other daemon has
+	GossipFailed   GossipOutcome = "failed"
+)
+
+// gossipOutcome returns the outcome of an exchange.
+func gossipOutcome(message, reply ramp.GossipMessage, err error) GossipOutcome {
+	switch {
+	case err != nil:
+		return GossipFailed
+	case reply.MembersRevision > message.MembersRevision && reply.EntryChange.ToRevision == 0:
+		return GossipWithheld
+	}
+	return GossipAnswered
+}
+
 // confirmFrom records the confirmation of another daemon that was asked at the uptime
-// started, if this daemon's view contains no later changes. A change that is being applied
-// meanwhile must be complete before, since the confirmation may be later than that change.
+// started, if this daemon's view contains the same changes and no later ones. A change that
+// is being applied meanwhile must be complete before, since the confirmation may be later
+// than that change.
 func (o *Observer) confirmFrom(reply ramp.GossipMessage, started time.Duration) {
 	o.applyMutex.Lock()
 	defer o.applyMutex.Unlock()
-	if reply.MembersRevision >= o.Mirror.Revision() {
+	if reply.MembersRevision == o.Mirror.Revision() {
 		o.confirm(started - reply.ConfirmedAge)
 	}
 }
 
 // HandleGossip handles a gossip message of another daemon and returns this daemon's
-// summary with the entries that the sender lacks.
+// summary with the entries that the sender lacks. If they do not fit into what its link
+// carries now, the reply has none, and no confirmation either.
 func (o *Observer) HandleGossip(msg ramp.GossipMessage) ramp.GossipMessage {
 	o.markSeen(msg)
 	reply := o.summary()
-	reply.EntryChange = o.Mirror.ChangesSince(msg.MembersRevision)
+	change := o.Mirror.ChangesSince(msg.MembersRevision)
+	if !o.replies.take(change) {
+		reply.ConfirmedAge = -1
+		return reply
+	}
+	reply.EntryChange = change
 	return reply
 }
 
--- a/fleet/observer_test.go
+++ b/fleet/observer_test.go
@@ -269,7 +269,7 @@
 			Mirror: NewMirror(ramp.SystemClock{}), Members: NewMembers(self, ramp.SystemClock{}),
 		}
 		o.Init()
-		o.gossipWith(t.Context(), ramp.Daemon{ID: "b", Incarnation: "b1", PeerAddress: "b:1"})
+		o.gossipWith(t.Context(), gossipTarget{Daemon: ramp.Daemon{ID: "b", Incarnation: "b1", PeerAddress: "b:1"}})
 		if !strings.Contains(log.String(), `msg="dependency unreachable" dependency="daemon b:1"`) {
 			t.Errorf("log: %s", log.String())
 		}
