fleet: read the store early enough for the bound, whatever the first call does

Cause: no sum. A daemon read the store by itself when its last confirmation was 5/6 of the bound old, which it looked at each 0.25 s, and its watch waited for up to a third of the bound for further changes, so that a connection that had gone silent held it for 2.5 s. With a bound of 5 s, 0.58 s were left for a call that may take 2.5 s.

On the fake clock, a daemon alone applied it after 3.16 s of 3 s, 5.12 s of 5 s and 6.36 s of 6 s with calls that take long, and after 6.6 and 7.5 s of 5 and 6 s if the first one hangs (TestDaemonAloneAppliesConfigurationInTime, which failed before).

Fix: it reads at 2/3 of the bound, exactly then, and without a wait, so a silent connection is given up after 0.8 s.

After: 2.4 of 3 s, 4.2 of 5 s, 5.5 of 6 s with slow calls; 4.1 and 5.1 s of 5 and 6 s if the first one hangs. A calm fleet makes no more calls than before (TestCalmFleetLeavesStoreToWatchers).

--- a/fleet/apply_bound_test.go
+++ b/fleet/apply_bound_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,3 +98,77 @@
 	}
 	golden.Check(t, "manychanges", b.String())
 }
+
+// hangingStore is a store of which one watch hangs until its client gives it up.
+type hangingStore struct {
+	ramp.Store
+	hangs atomic.Bool // whether the next watch hangs
+}
+
+// watchGrace is the time beyond its wait after which a watch is given up.
+const watchGrace = 800 * time.Millisecond
+
+// Watch implements [ramp.Store].
+func (h *hangingStore) Watch(
+	ctx context.Context, prefix string, revision uint64, wait time.Duration,
+) (ramp.EntryChange, error) {
+	if h.hangs.Swap(false) {
+		time.Sleep(wait + watchGrace)
+		return ramp.EntryChange{}, &ramp.StoreError{Call: "watch", Cause: errors.New("no reply in time")}
+	}
+	return h.Store.Watch(ctx, prefix, revision, wait)
+}
+
+// TestDaemonAloneAppliesConfigurationInTime guards against a daemon that hears nothing from the
+// others and reads the store so late that its own call takes it beyond the bound.
+func TestDaemonAloneAppliesConfigurationInTime(t *testing.T) {
+	var b strings.Builder
+	for _, test := range []struct {
+		daemons int
+		bound   time.Duration
+		delay   time.Duration // of each call to the store
+		hangs   bool          // the first call hangs
+	}{
+		{9, 3 * time.Second, 0, false},
+		{9, 3 * time.Second, 1200 * time.Millisecond, false},
+		{9, 5 * time.Second, 0, false},
+		{9, 5 * time.Second, 2400 * time.Millisecond, false},
+		{9, 5 * time.Second, 0, true},
+		{9, 6 * time.Second, 3 * time.Second, false},
+		{9, 6 * time.Second, 0, true},
+		{117, 5 * time.Second, 0, true},
+	} {
+		latest := time.Duration(0)
+		for phase := time.Duration(0); phase < test.bound/watchWaitDivisor; phase += test.bound / (5 * watchWaitDivisor) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store := standin.NewStore(ramp.SystemClock{})
+				all, cut := newObservers(store, test.daemons, test.bound)
+				stores := make(map[string]*hangingStore)
+				for id, o := range all {
+					stores[id] = &hangingStore{Store: o.Store}
+					o.Store = stores[id]
+				}
+				runObservers(ctx, all)
+				time.Sleep(2*test.bound + phase)
+				var alone []*testObserver
+				for id, o := range all {
+					cut.add(id)
+					if !IsWatcher(o.Self, o.Members.All()) {
+						alone = append(alone, o)
+						stores[id].hangs.Store(test.hangs)
+						store.SetFault(id, standin.Fault{Delay: test.delay})
+					}
+				}
+				latest = max(latest, apply(ctx, store, alone, 0, test.bound).after)
+				cancel()
+				synctest.Wait()
+				time.Sleep(time.Minute)
+			})
+		}
+		t.Logf("%+v: applied after %s", test, latest)
+		fmt.Fprintf(&b, "%d daemons, bound %s, calls take %s, the first one hangs=%t: in time=%t\n",
+			test.daemons, test.bound, test.delay, test.hangs, latest <= test.bound)
+	}
+	golden.Check(t, "alone", b.String())
+}
--- a/fleet/authorization.go
+++ b/fleet/authorization.go
@@ -16,7 +16,7 @@
 	// confirmShare is the share within which a daemon renews its confirmation. A daemon that
 	// loses its last path to the store must serve requests with keys for 0.6 of the bound, so
 	// its confirmation must not be older than 0.34 of it. A daemon reads the store itself at
-	// [selfWatchShare] of this share, and the reply takes some time.
+	// [confirmWatchShare] of this share, and the reply takes some time.
 	confirmShare = 0.4
 )
 
--- a/fleet/observer.go
+++ b/fleet/observer.go
@@ -28,9 +28,15 @@
 	observerGossipPeriod  = 400 * time.Millisecond
 	observerGossipTimeout = 500 * time.Millisecond
 	// selfWatchShare is the share of the bound on applying a change: when the last
-	// confirmation from the store is older, any daemon watches the store itself. The
-	// rest of the bound is for the daemon's own call.
-	selfWatchShare = 5.0 / 6
+	// confirmation from the store is older, any daemon reads the store itself. The rest
+	// is for that: a call that hangs and is given up, a pause, a reply over a slow link.
+	selfWatchShare = 2.0 / 3
+	// confirmWatchShare is the like share of the time within which keys need a confirmation.
+	confirmWatchShare = 5.0 / 6
+	// relayTime is the time within which the word of a watcher reaches a daemon of its
+	// failure domain: two periods of gossip, since one in [randomPeriod] goes to another
+	// daemon, and the exchange itself.
+	relayTime = 2*observerGossipPeriod + 100*time.Millisecond
 	// smallFleet is the greatest number of members with which all of them watch the
 	// store.
 	smallFleet = 8
@@ -221,7 +227,11 @@
 
 // selfWatchAge is the greatest age of a confirmation that is not overdue.
 func (o *Observer) selfWatchAge() time.Duration {
-	return time.Duration(selfWatchShare * float64(o.confirmBound()))
+	age := time.Duration(selfWatchShare * float64(o.ApplyBound))
+	if o.Authorization != nil {
+		age = min(age, time.Duration(confirmWatchShare*float64(o.Authorization.ConfirmWithin())))
+	}
+	return age
 }
 
 // Registered reports whether the store lists this daemon, by the daemon's view of the store.
@@ -241,33 +251,33 @@
 // daemon whose last confirmation from the store is too old.
 func (o *Observer) shouldWatch() bool { return o.isWatcher() || o.isOverdue() }
 
-// watchWait returns the wait of a watch. Where keys need a confirmation, the watch ends
-// before the last one is overdue, and a daemon of a small fleet waits for longer, since no
-// other relies on its word.
+// watchWait returns the wait of a watch, which ends before the last confirmation is overdue,
+// and in a fleet whose other daemons hear from the watchers so long before that the word
+// reaches them. A daemon of a small fleet waits for longer, since no other relies on it.
 func (o *Observer) watchWait() time.Duration {
 	small := len(o.Members.All()) <= smallFleet
-	if o.Authorization == nil {
-		if small {
-			return observerWatchWait
-		}
-		return min(observerWatchWait, o.ApplyBound/watchWaitDivisor)
-	}
-	wait := o.confirmBound() / watchWaitDivisor
-	if small {
-		wait *= 2
+	if small && o.Authorization == nil {
+		return observerWatchWait
 	}
 	age, known := o.ConfirmedAge()
 	if !known {
 		return 0
 	}
-	return max(0, min(wait, o.selfWatchAge()-age))
+	wait, left := min(observerWatchWait, o.confirmBound()/watchWaitDivisor), o.selfWatchAge()-age
+	switch {
+	case o.Authorization == nil:
+		left -= relayTime
+	case small:
+		wait *= 2
+	}
+	return max(0, min(wait, left))
 }
 
 // idlePause returns the time until a daemon that does not watch the store checks again
-// whether it should. Where keys need a confirmation, it does so when that is overdue.
+// whether it should.
 func (o *Observer) idlePause() time.Duration {
 	age, known := o.ConfirmedAge()
-	if o.Authorization == nil || !known {
+	if !known {
 		return observerPause
 	}
 	return min(observerPause, max(0, o.selfWatchAge()-age)+time.Millisecond)
