review: case 6, an entry of another writer is used as a replica

Cause: DecodeInstance accepts an entry without version and warmupLeftMs, and an answer with a 4xx status that has neither signature nor id is passed on. Change: the case with its script, and the stand-ins of the second review.

--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,59 @@
+// Command stand2 holds the stand-ins of the second review: a platform store, replicas and
+// clients. Its argument names a case, which it plays against the project's daemons.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// longest is the time after which a case is given up.
+const longest = 115 * time.Second
+
+// Exit codes of a case.
+const (
+	held     = 0
+	broken   = 1
+	unplayed = 2
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
+		os.Exit(unplayed)
+	}
+	play, ok := map[string]func(*world) (int, error){
+		"foreign": playForeign, "restart": playRestart, "extra": playExtra,
+	}[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		os.Exit(unplayed)
+	}
+	w, err := newWorld(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(unplayed)
+	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(longest):
+		}
+		w.note("stopped before its end")
+		w.close()
+		os.Exit(unplayed)
+	}()
+	code, err := play(w)
+	if err != nil {
+		w.note("not played: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		code = unplayed
+	}
+	w.close()
+	os.Exit(code)
+}
