review: case 10, tokens of an allowance outlive their expiry

Cause: a token that is given back renews the expiry of all tokens in hand, so what was granted seconds ago is used after an outage of the replicas. Change: the case with its script.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -26,7 +26,7 @@
 		os.Exit(unplayed)
 	}
 	play, ok := map[string]func(*world) (int, error){
-		"foreign": playForeign, "restart": playRestart, "extra": playExtra,
+		"foreign": playForeign, "restart": playRestart, "extra": playExtra, "quota": playQuota,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
